--- /dev/null
+++ b/cmd/benchlink/main.go
@@ -0,0 +1,41 @@
+// Command benchlink hosts one policy for each relay and carries frames on
+// standard input and output to it and back. It decides nothing.
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log"
+	"os"
+)
+
+func main() {
+	log.SetFlags(0)
+	log.SetPrefix("benchlink: ")
+	in := bufio.NewReaderSize(os.Stdin, 1<<20)
+	out := bufio.NewWriterSize(os.Stdout, 1<<20)
+	if err := serve(in, out); err != nil {
+		log.Fatal(err)
+	}
+}
+
+// serve answers frames until the input ends; a clean end gives nil.
+func serve(in io.Reader, out *bufio.Writer) error {
+	h := newHost()
+	for n := 0; ; n++ {
+		reply, err := h.turn(in)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("frame %d: %w", n, err)
+		}
+		if _, err := out.Write(reply); err != nil {
+			return err
+		}
+		if err := out.Flush(); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/decide/guards_test.go
@@ -0,0 +1,80 @@
+package decide
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestGuardsMatter takes one guard at a time out of a copy of the module and expects TestRules, or the named
+// test, to fail: the checker can tell, and no second path hides the loss.
+func TestGuardsMatter(t *testing.T) {
+	if os.Getenv("YEWSPAN_MUTANT") != "" {
+		t.Skip("a mutant does not mutate")
+	}
+	goTool, err := exec.LookPath("go")
+	if err != nil {
+		t.Fatal("the go tool is needed: ", err)
+	}
+	for _, m := range []struct{ name, old, new, run string }{
+		{"none", "", "", ""},
+		{"drain", "ep.state != Ready || ep.lane", "ep.lane", "TestRules"},
+		{"wait", " || ep.lane.waitUntil > p.now || ", " || ", "TestRules"},
+		{"unsafe", "if m.doubtAt == 0 || m.class.Repeat == Safe {", "if m.doubtAt == 0 || m.class.Repeat != Keyed {", "TestRules"},
+		{"dedup window", " || p.now-m.doubtAt > m.class.DedupWindow-2*p.set.Tick", "", "TestRules"},
+		{"dedup zone", "m.class.ZoneOnly && ep.zone != m.doubtIn", "false", "TestRules"},
+		{"order", "l.turns[0] != m || ", "", "TestRules"},
+		{"rest of a key", "m.tries == 0 && l.rest > p.now", "false", "TestRules"},
+		{"answer in time", "p.now < m.deadline-p.margin() && (m.call", "(m.call", "TestRules"},
+		{"attempts", "p.set.MaxAttempts > 0 && m.tries >= p.set.MaxAttempts", "false", "TestRules"},
+		{"refusal", "return m.class.Repeat == Keyed && !m.class.ZoneOnly", "return m.class.Repeat == Keyed", "TestRules"},
+		{"budget", "return ep.budget.level(p.now, rate, max(depth, ep.need)) >= ep.need", "return ep.budget.level(p.now, rate, max(depth, ep.need)) >= -99", "TestFailBackBudget"},
+		{"outage", "ep.sick || ep.score < scoreSick", "true", "TestPartialSuccessKeepsTheBudget"},
+		{"calling off", "p.review(c)\n\t}\n\tl.bound", "}\n\tl.bound", "TestReclaim"},
+	} {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			files, _ := filepath.Glob("*.go")
+			for _, f := range files {
+				if f == "example_test.go" {
+					continue // it imports the module by name
+				}
+				text, err := os.ReadFile(f)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if f == "decide.go" && m.old != "" {
+					if strings.Count(string(text), m.old) != 1 {
+						t.Fatalf("%q stands %d times in decide.go", m.old, strings.Count(string(text), m.old))
+					}
+					text = []byte(strings.Replace(string(text), m.old, m.new, 1))
+				}
+				if err := os.WriteFile(filepath.Join(dir, f), text, 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := os.WriteFile(filepath.Join(dir, "go.mod"), []byte("module mutant\n\ngo 1.24\n"), 0o644); err != nil {
+				t.Fatal(err)
+			}
+			run := m.run
+			if run == "" {
+				run = "TestRules|TestFailBackBudget|TestReclaim"
+			}
+			cmd := exec.Command(goTool, "test", "-vet=off", "-run", "^("+run+")$", ".")
+			cmd.Dir = dir
+			cmd.Env = append(os.Environ(), "YEWSPAN_MUTANT=1", "GOFLAGS=", "GOWORK=off")
+			out, err := cmd.CombinedOutput()
+			switch {
+			case m.old == "" && err != nil:
+				t.Fatalf("the copy itself fails:\n%s", out)
+			case m.old != "" && err == nil:
+				t.Fatalf("without the guard %s still passes", m.run)
+			case m.old != "" && !strings.Contains(string(out), "--- FAIL"):
+				t.Fatalf("the mutant does not build:\n%s", out)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/decide/state.go
@@ -0,0 +1,138 @@
+package decide
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+)
+
+// What a policy remembers; nothing is decided here.
+
+// Policy decides for one relay.
+type Policy struct {
+	set     Settings
+	rng     *rand.Rand
+	now     Time
+	out     []Action
+	dests   []*dest // by number
+	eps     map[Endpoint]*endpoint
+	msgs    map[uint32]*message
+	live    []*message // not yet ended
+	lines   map[uint64]*line
+	later   agenda[func()] // what is put off
+	touched []*dest        // to be looked at in this turn
+	ready   []*dest        // wait for nothing but a slot
+	tenants []bucket
+	calls   int
+	aloft   int // messages not ended with an attempt out
+	armed   Time
+	asked   Time
+	tight   []float64 // share of calls that found no connection, by kind of destination
+	lat     latency   // of all answers
+	pressed Time      // since when messages wait and every slot is taken; 0 for not
+}
+
+// dest is a destination: a queue, and a lane for each thing that limits it.
+type dest struct {
+	id      int
+	kind    Kind
+	kindAt  int // its place in the settings
+	lanes   []*lane
+	queue   []*message
+	flying  int
+	touched bool
+	wakeAt  Time // next moment in wakes
+	pick    *message
+	pickAt  *endpoint
+	pickVal float64
+}
+
+// lane is what one limit, one wait and one history bind: a destination, or a route where they are apart.
+type lane struct {
+	dest       *dest
+	eps        []*endpoint
+	hist       counter
+	window     float64
+	flying     int
+	waitUntil  Time // told to wait
+	pauseUntil Time // refused without a wait, or a draw was dropped
+	nominal    float64
+	limit      float64
+	boost      float64
+	tokens     bucket
+	bound      bool // the pace, not the traffic, decided when the last call went
+	fullRun    int
+	fullAt     Time // the first of the run
+	lat        latency
+}
+
+// endpoint is one address, with what this relay saw of its health.
+type endpoint struct {
+	id        Endpoint
+	zone      int
+	lane      *lane
+	state     Readiness
+	flying    int
+	conns     int
+	restUntil Time // failing, but not yet held to be out
+	idleAt    Time // end of the last call
+	watched   bool // a look at its idle connections is put off
+	score     float64
+	sick      bool
+	firstBad  Time
+	badAt     Time
+	goodAt    Time // first success since the last failure; 0 for none
+	goodSent  Time
+	okAt      Time
+	budget    bucket
+	need      float64 // what the next call takes out of the budget
+	mute      bool    // the last failure was a silence, not an answer
+	lat       latency
+}
+
+// message is held until it is ended, and known until its last attempt is over.
+type message struct {
+	id       uint32
+	key      uint64
+	class    *Class
+	dest     *dest
+	aimAt    Time
+	deadline Time
+	worth    float64
+	over     bool
+	place    int // in Policy.live
+	tries    int
+	doubtAt  Time      // send of the first attempt that may have run; 0 for none
+	doubtIn  int       // its zone
+	failedAt *endpoint // where its last attempt failed
+	call     *call
+}
+
+// call is one call out, with the messages that share it.
+type call struct {
+	ep    *endpoint
+	sent  Time
+	left  int
+	noted bool
+	msgs  []*message
+}
+
+// line is the turn of one key in the classes that keep order.
+type line struct {
+	turns []*message
+	rest  Time
+}
+
+func (p *Policy) act(a Action) { p.out = append(p.out, a) }
+
+func (p *Policy) dest(id int) *dest {
+	at, ok := slices.BinarySearchFunc(p.dests, id, func(d *dest, id int) int { return d.id - id })
+	if !ok {
+		p.dests = slices.Insert(p.dests, at, &dest{id: id, kind: Kind{Batch: 1}})
+	}
+	return p.dests[at]
+}
+
+func (p *Policy) logf(format string, args ...any) {
+	p.act(Action{Kind: ActLog, Text: fmt.Sprintf(format, args...)})
+}
