--- /dev/null
+++ b/cmd/troutusher/main.go
@@ -0,0 +1,40 @@
+// Command troutusher is a relay: it takes messages from clients and owes each
+// of them its end. What it is told stands in the environment and in the file
+// that ROUTER_CONFIG names.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"yewspan/internal/relay"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitConfig = 2
+)
+
+func main() {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	cfg, err := relay.LoadConfig(os.Getenv)
+	if err != nil {
+		log.Error("cannot start", "err", err)
+		os.Exit(exitConfig)
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
+	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 10 * 7) // the rest is for files and stacks
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := relay.Run(cfg, log, ctx.Done()); err != nil {
+		log.Error("ended", "err", err)
+		os.Exit(exitFailed)
+	}
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -147,7 +147,7 @@
 // Kinds of event, each with the fields of Event that it uses.
 const (
 	EvList     EventKind = iota // news of the list: List, Entries
-	EvMessage                   // a new message: Message, Key, Left, Class, Dest, Tenant, Work
+	EvMessage                   // a new message: Message, Key, Left, Class, Dest, Tenant, Work, Tries, DoubtAt, DoubtIn
 	EvBegun                     // an answer has begun to flow: Message, Attempt
 	EvOutcome                   // an attempt is over: Message, Attempt, Endpoint, Outcome, Wait, Slots, Took, Settled, Load
 	EvWithdraw                  // nobody wants the message any more: Message
@@ -232,6 +232,12 @@
 	Took     Time
 	Load     Load
 	Entries  []Entry
+
+	// EvMessage, of a message that an earlier process took on: its attempts so
+	// far, the send of the first of them that may have run (0 for none) and its zone.
+	Tries   int
+	DoubtAt Time
+	DoubtIn int
 }
 
 // ActionKind says what an Action asks for.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -170,6 +170,11 @@
 	c := &p.set.Classes[e.Class]
 	m := &message{id: e.Message, key: e.Key, class: c, dest: p.dest(e.Dest), worth: c.Worth}
 	m.deadline = p.now + max(e.Left, 0)
+	m.tries = e.Tries
+	if m.doubtAt = e.DoubtAt; m.doubtAt > 0 {
+		m.doubtIn = e.DoubtIn
+		p.later.add(max(m.doubtAt+c.DedupWindow-2*p.set.Tick+1, p.now+1), func() { p.look(m) })
+	}
 	m.aimAt = m.deadline - c.Deadline + c.Aim
 	if p.set.WorthByWork && e.Work > 0 {
 		m.worth *= float64(e.Work)
@@ -186,6 +191,9 @@
 	m.place = len(p.live)
 	p.live = append(p.live, m)
 	p.later.add(m.deadline-p.margin(), func() { p.look(m) })
+	if m.tries > 0 { // resumed: it may have nothing left but its end
+		p.later.add(p.now, func() { p.look(m) })
+	}
 	m.dest.queue = append(m.dest.queue, m)
 	p.touch(m.dest)
 	if c.InOrder && m.key != 0 {
--- /dev/null
+++ b/internal/relay/config.go
@@ -0,0 +1,204 @@
+package relay
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"yewspan/decide"
+	"yewspan/internal/settings"
+	"yewspan/internal/wire"
+)
+
+// Limits are those of the relay's machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+	DiskMB   int     `json:"disk_mb"`
+}
+
+// Config is everything that a relay is told before it starts.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	State     string // the folder that outlasts the process
+	Seed      uint64
+	Limits    Limits
+	Known     *List // the list as this relay last had it, maybe old
+	Policy    decide.Settings
+	zones     map[string]int
+	kinds     map[string]int
+	classes   map[string]int
+	tenants   map[string]int
+	loads     []string // fields of a load report
+}
+
+// LoadConfig reads the file that ROUTER_CONFIG names. What the environment
+// says of name, addresses and state folder comes before the file.
+func LoadConfig(getenv func(string) string) (*Config, error) {
+	path := getenv("ROUTER_CONFIG")
+	if path == "" {
+		return nil, errors.New("ROUTER_CONFIG: not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	return parseConfig(text, getenv)
+}
+
+func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
+	var f struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		State     string          `json:"state"`
+		Seed      json.RawMessage `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     *List           `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			return nil, fmt.Errorf("config: %s: wrong type %s", te.Field, te.Value)
+		}
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, State: f.State, Limits: f.Limits, Known: f.Known}
+	for _, v := range []struct {
+		env, key string
+		to       *string
+	}{{"ROUTER_NAME", "name", &c.Name}, {"ROUTER_LISTEN", "listen", &c.Listen},
+		{"ROUTER_DISCOVERY", "discovery", &c.Discovery}, {"ROUTER_STATE", "state", &c.State}} {
+		if s := getenv(v.env); s != "" {
+			*v.to = s
+		}
+		if *v.to == "" {
+			return nil, fmt.Errorf("config: %s: missing, and %s is not set", v.key, v.env)
+		}
+	}
+	for key, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("config: %s: %w", key, err)
+		}
+	}
+	var err error
+	if c.Seed, err = parseSeed(f.Seed); err != nil {
+		return nil, fmt.Errorf("config: seed: %w", err)
+	}
+	if err := c.Limits.fill(); err != nil {
+		return nil, fmt.Errorf("config: limits.%w", err)
+	}
+	if len(f.Settings) == 0 {
+		return nil, errors.New("config: settings: missing")
+	}
+	return c, c.read(f.Settings)
+}
+
+// read maps the settings object and the names in it.
+func (c *Config) read(text []byte) error {
+	s, err := wire.ParseSettings(text)
+	if err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
+	if c.Policy, err = settings.Policy(s); err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
+	if err := c.Policy.Validate(); err != nil {
+		return fmt.Errorf("config: settings: %w", err)
+	}
+	// On sockets a connection carries one call at a time, whatever the
+	// simulator's connections carry.
+	c.Policy.Streams = 1
+	for i := range c.Policy.Kinds {
+		c.Policy.Kinds[i].Batch = 1 // and a call carries one message
+	}
+	var names struct {
+		Localities []string `json:"localities"`
+	}
+	if err := json.Unmarshal(text, &names); err != nil {
+		return fmt.Errorf("config: settings: localities: %w", err)
+	}
+	c.loads = s.Report.Fields
+	c.zones, c.kinds = places(names.Localities), places(s.Kinds)
+	c.classes, c.tenants = map[string]int{}, map[string]int{}
+	for i, x := range s.Classes {
+		c.classes[x.Name] = i
+	}
+	for i, x := range s.Accounts {
+		c.tenants[x.Name] = i
+	}
+	return nil
+}
+
+func places(names []string) map[string]int {
+	m := make(map[string]int, len(names))
+	for i, n := range names {
+		m[n] = i
+	}
+	return m
+}
+
+// parseSeed takes 64 bits in hexadecimal, or a plain number.
+func parseSeed(raw json.RawMessage) (uint64, error) {
+	if len(raw) == 0 || bytes.Equal(raw, []byte("null")) {
+		return 0, errors.New("missing")
+	}
+	var s string
+	if json.Unmarshal(raw, &s) == nil {
+		return strconv.ParseUint(s, 16, 64)
+	}
+	return strconv.ParseUint(string(raw), 10, 64)
+}
+
+// fill puts in what is left out, and tells of limits that cannot be.
+func (l *Limits) fill() error {
+	switch {
+	case l.Cores < 0:
+		return fmt.Errorf("cores: %v, want 0 or more", l.Cores)
+	case l.MemoryMB < 0:
+		return fmt.Errorf("memory_mb: %d, want 0 or more", l.MemoryMB)
+	case l.Sockets < 0 || l.Sockets > 0 && l.Sockets < minSockets:
+		return fmt.Errorf("sockets: %d, want at least %d", l.Sockets, minSockets)
+	case l.DiskMB < 0:
+		return fmt.Errorf("disk_mb: %d, want 0 or more", l.DiskMB)
+	}
+	if l.Cores == 0 {
+		l.Cores = 1
+	}
+	if l.MemoryMB == 0 {
+		l.MemoryMB = 192
+	}
+	if l.Sockets == 0 {
+		l.Sockets = 1024
+	}
+	if l.DiskMB == 0 {
+		l.DiskMB = 3
+	}
+	return nil
+}
+
+// Descriptors: what the runtime, the log, the listener and discovery hold, and
+// the least that a relay can work with.
+const (
+	ownSockets = 32
+	minSockets = 64
+)
+
+// budget splits the descriptors between clients and endpoints. A call out
+// needs one each, so the endpoints' part is never under the slots as long as
+// the clients keep half.
+func (c *Config) budget() (clients, endpoints int) {
+	free := c.Limits.Sockets - ownSockets
+	endpoints = min(max(free/4, c.Policy.Slots+8), free/2)
+	return free - endpoints, endpoints
+}
+
+func (c *Config) keyed(class int) bool { return c.Policy.Classes[class].Repeat == decide.Keyed }
--- /dev/null
+++ b/internal/relay/discovery.go
@@ -0,0 +1,332 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Phases of a member.
+const (
+	phaseUp       = "up"
+	phaseDraining = "draining"
+	phaseRemoved  = "removed"
+)
+
+// Member is an endpoint in discovery's list.
+type Member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+}
+
+func (m *Member) check() error {
+	switch {
+	case m.ID == "":
+		return errors.New("member without id")
+	case m.Phase != phaseUp && m.Phase != phaseDraining && m.Phase != phaseRemoved:
+		return fmt.Errorf("member %s: unknown phase %q", m.ID, m.Phase)
+	case m.Phase == phaseRemoved:
+		return nil
+	}
+	if _, _, err := net.SplitHostPort(m.HostPort); err != nil {
+		return fmt.Errorf("member %s: host_port: %w", m.ID, err)
+	}
+	return nil
+}
+
+// List is discovery's list, or what changed in it.
+type List struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []Member `json:"members"`
+}
+
+func parseList(text []byte) (*List, error) {
+	l := &List{}
+	if err := json.Unmarshal(text, l); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	if l.Members == nil {
+		return nil, errors.New("discovery: no members")
+	}
+	for i := range l.Members {
+		if err := l.Members[i].check(); err != nil {
+			return nil, fmt.Errorf("discovery: %w", err)
+		}
+	}
+	return l, nil
+}
+
+const (
+	listPath    = "/registry/instances"
+	noticePath  = "/reports"
+	discSilence = 5 * time.Second // a watch says something every 2 s
+	discAnswer  = 3 * time.Second // the agent answers at once, or is down
+	discPause   = 200 * time.Millisecond
+	listMost    = 4 << 20 // bytes of a list or a line
+)
+
+// newPlainClient makes a client for the agent on this machine: few kept
+// connections, no proxy, no second protocol.
+func newPlainClient(conns int) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: discAnswer}).DialContext,
+			MaxIdleConnsPerHost: conns,
+			MaxConnsPerHost:     conns,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+			Protocols:           http1(),
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+func http1() *http.Protocols {
+	p := &http.Protocols{}
+	p.SetHTTP1(true)
+	return p
+}
+
+// discovery keeps a watch on the list and hands on its news.
+type discovery struct {
+	base    string
+	log     *slog.Logger
+	client  *http.Client
+	silence time.Duration
+	news    func(*List) // called in order
+}
+
+func newDiscovery(addr string, log *slog.Logger, news func(*List)) *discovery {
+	return &discovery{base: "http://" + addr, log: log, client: newPlainClient(4), silence: discSilence, news: news}
+}
+
+// run watches until ctx ends. What is heard is passed on with no delay: the
+// grace after word of a drain counts from when discovery wrote it.
+func (d *discovery) run(ctx context.Context) {
+	defer d.client.CloseIdleConnections()
+	rev, whole := int64(0), false
+	for ctx.Err() == nil {
+		var err error
+		if !whole {
+			var l *List
+			if l, err = d.fetch(ctx); err == nil {
+				rev, whole = l.Revision, true
+				d.news(l)
+			}
+		}
+		if whole {
+			rev, whole, err = d.watch(ctx, rev)
+		}
+		if ctx.Err() == nil {
+			d.log.Warn("discovery: watch over", "revision", rev, "whole", whole, "err", err)
+			sleep(ctx, discPause)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// fetch asks once for the whole list.
+func (d *discovery) fetch(ctx context.Context) (*List, error) {
+	ctx, cancel := context.WithTimeout(ctx, discAnswer)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+listPath, nil)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("discovery: list: status %d", resp.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, listMost))
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	l, err := parseList(text)
+	if err == nil && !l.Complete {
+		err = errors.New("discovery: the whole list was asked for, a part came")
+	}
+	return l, err
+}
+
+// watch follows the changes after a version. whole tells whether the list is
+// still known up to the version that it returns; after a line that cannot be
+// read it is not, and the whole list must be had again.
+func (d *discovery) watch(ctx context.Context, from int64) (rev int64, whole bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	quiet := time.AfterFunc(d.silence, func() { cancel(errors.New("silent")) })
+	defer quiet.Stop()
+	url := d.base + listPath + "?watch=1&from=" + strconv.FormatInt(from, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return from, true, fmt.Errorf("discovery: %w", err)
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return from, true, fmt.Errorf("discovery: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return from, false, fmt.Errorf("discovery: watch: status %d", resp.StatusCode)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 0, 4096), listMost)
+	for rev = from; lines.Scan(); {
+		quiet.Reset(d.silence)
+		text := bytes.TrimSpace(lines.Bytes())
+		if len(text) == 0 {
+			continue
+		}
+		l, err := parseList(text)
+		if err != nil {
+			return rev, false, err
+		}
+		rev = l.Revision
+		d.news(l)
+	}
+	if err = lines.Err(); errors.Is(err, bufio.ErrTooLong) {
+		return rev, false, fmt.Errorf("discovery: %w", err)
+	}
+	if err == nil {
+		err = io.EOF
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	return rev, true, fmt.Errorf("discovery: %w", err)
+}
+
+// Words for the ends that a notice tells.
+const (
+	endGivenUp    = "given_up"
+	endHandedBack = "handed_back"
+)
+
+// notice tells the platform how a message ended.
+type notice struct {
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+	RetryMS int64  `json:"retry_in_ms,omitempty"`
+}
+
+const (
+	noticeBatch = 64
+	noticeWait  = 2 * time.Second
+	noticePause = 50 * time.Millisecond // grows with each failure in a row
+	noticeMost  = 500 * time.Millisecond
+)
+
+// notices sends notices until each has been taken. Repeats are harmless.
+type notices struct {
+	url    string
+	log    *slog.Logger
+	client *http.Client
+	in     *mailbox[notice]
+	taken  func(id string)
+}
+
+func newNotices(addr string, log *slog.Logger, taken func(string)) *notices {
+	return &notices{url: "http://" + addr + noticePath, log: log, client: newPlainClient(2),
+		in: newMailbox[notice](), taken: taken}
+}
+
+// run sends until ctx ends.
+func (n *notices) run(ctx context.Context) {
+	defer n.client.CloseIdleConnections()
+	var fresh, left []notice
+	for pause := noticePause; ctx.Err() == nil; {
+		fresh = n.in.takeAll(fresh)
+		left = append(left, fresh...)
+		if len(left) == 0 {
+			select {
+			case <-ctx.Done():
+			case <-n.in.ready:
+			}
+			continue
+		}
+		batch := left[:min(len(left), noticeBatch)]
+		status, err := n.post(ctx, batch)
+		if status == http.StatusBadRequest && len(batch) > 1 {
+			// One of them cannot be read; it must not hold up the others.
+			for _, x := range batch {
+				if status, err = n.post(ctx, []notice{x}); err != nil && status != http.StatusBadRequest {
+					break
+				}
+				n.settle(x, err)
+				left = left[1:]
+			}
+		} else if err == nil || status == http.StatusBadRequest {
+			for _, x := range batch {
+				n.settle(x, err)
+			}
+			left = left[len(batch):]
+		}
+		if err == nil || status == http.StatusBadRequest {
+			pause = noticePause
+			continue
+		}
+		n.log.Warn("notices: not taken", "count", len(left), "err", err)
+		sleep(ctx, pause)
+		pause = min(2*pause, noticeMost)
+	}
+}
+
+func (n *notices) settle(x notice, err error) {
+	if err != nil {
+		n.log.Error("notices: cannot be read", "message", x.Message, "err", err)
+	}
+	n.taken(x.Message)
+}
+
+func (n *notices) post(ctx context.Context, batch []notice) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, noticeWait)
+	defer cancel()
+	var body bytes.Buffer
+	enc := json.NewEncoder(&body) // one object a line
+	for _, x := range batch {
+		if err := enc.Encode(x); err != nil {
+			return 0, fmt.Errorf("notices: %w", err)
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, n.url, &body)
+	if err != nil {
+		return 0, fmt.Errorf("notices: %w", err)
+	}
+	resp, err := n.client.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("notices: %w", err)
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, io.LimitReader(resp.Body, listMost))
+	if resp.StatusCode != http.StatusNoContent {
+		return resp.StatusCode, fmt.Errorf("notices: status %d", resp.StatusCode)
+	}
+	return resp.StatusCode, nil
+}
