--- a/decide/decide.go
+++ b/decide/decide.go
@@ -170,11 +170,6 @@
 	c := &p.set.Classes[e.Class]
 	m := &message{id: e.Message, key: e.Key, class: c, dest: p.dest(e.Dest), worth: c.Worth}
 	m.deadline = p.now + max(e.Left, 0)
-	m.tries = e.Tries
-	if m.doubtAt = e.DoubtAt; m.doubtAt > 0 {
-		m.doubtIn = e.DoubtIn
-		p.later.add(max(m.doubtAt+c.DedupWindow-2*p.set.Tick+1, p.now+1), func() { p.look(m) })
-	}
 	m.aimAt = m.deadline - c.Deadline + c.Aim
 	if p.set.WorthByWork && e.Work > 0 {
 		m.worth *= float64(e.Work)
@@ -191,9 +186,7 @@
 	m.place = len(p.live)
 	p.live = append(p.live, m)
 	p.later.add(m.deadline-p.margin(), func() { p.look(m) })
-	if m.tries > 0 { // resumed: it may have nothing left but its end
-		p.later.add(p.now, func() { p.look(m) })
-	}
+	p.resume(m, e)
 	m.dest.queue = append(m.dest.queue, m)
 	p.touch(m.dest)
 	if c.InOrder && m.key != 0 {
@@ -407,8 +400,7 @@
 		l.rest = max(l.rest, p.now+p.set.KeyRest)
 	}
 	if !e.Outcome.NeverRan() && e.Outcome != Delivered && m.doubtAt == 0 {
-		m.doubtAt, m.doubtIn = c.sent, c.ep.zone
-		p.later.add(max(m.doubtAt+m.class.DedupWindow-2*p.set.Tick+1, p.now+1), func() { p.look(m) })
+		p.doubt(m, c.sent, c.ep.zone)
 	}
 	m.failedAt = c.ep
 	switch {
--- a/decide/state.go
+++ b/decide/state.go
@@ -133,6 +133,22 @@
 	return p.dests[at]
 }
 
+// resume gives a message that an earlier process took on its past back. It may have nothing left but its end.
+func (p *Policy) resume(m *message, e *Event) {
+	if m.tries = e.Tries; m.tries > 0 {
+		p.later.add(p.now, func() { p.look(m) })
+	}
+	if e.DoubtAt > 0 {
+		p.doubt(m, e.DoubtAt, e.DoubtIn)
+	}
+}
+
+// doubt keeps the first attempt of a message that may have run; the message is looked at when its window ends.
+func (p *Policy) doubt(m *message, sent Time, zone int) {
+	m.doubtAt, m.doubtIn = sent, zone
+	p.later.add(max(m.doubtAt+m.class.DedupWindow-2*p.set.Tick+1, p.now+1), func() { p.look(m) })
+}
+
 func (p *Policy) logf(format string, args ...any) {
 	p.act(Action{Kind: ActLog, Text: fmt.Sprintf(format, args...)})
 }
