--- a/cmd/benchlink/host.go
+++ b/cmd/benchlink/host.go
@@ -5,9 +5,9 @@
 	"io"
 	"math"
 
-	"yewspan/decide"
-	"yewspan/internal/settings"
-	"yewspan/internal/wire"
+	"troutusher/decide"
+	"troutusher/internal/settings"
+	"troutusher/internal/wire"
 )
 
 // relay is one hosted instance.
--- a/cmd/troutusher/main.go
+++ b/cmd/troutusher/main.go
@@ -13,7 +13,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"yewspan/internal/relay"
+	"troutusher/internal/relay"
 )
 
 // Exit codes.
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"yewspan/decide"
+	"troutusher/decide"
 )
 
 // A relay asks its policy what to do with a message, and tells it how the call went.
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -9,9 +9,9 @@
 	"os"
 	"strconv"
 
-	"yewspan/decide"
-	"yewspan/internal/settings"
-	"yewspan/internal/wire"
+	"troutusher/decide"
+	"troutusher/internal/settings"
+	"troutusher/internal/wire"
 )
 
 // Limits are those of the relay's machine.
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"yewspan/decide"
+	"troutusher/decide"
 )
 
 const (
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -11,7 +11,7 @@
 	"net"
 	"time"
 
-	"yewspan/decide"
+	"troutusher/decide"
 )
 
 // Figures of a planned end. A relay has 3.7 s from SIGTERM until it is killed.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,8 +5,8 @@
 import (
 	"fmt"
 
-	"yewspan/decide"
-	"yewspan/internal/wire"
+	"troutusher/decide"
+	"troutusher/internal/wire"
 )
 
 var repeats = map[string]decide.Repeat{"retryable": decide.Safe, "dedup": decide.Keyed, "fragile": decide.Unsafe}
