Cover restarts on sockets; end a planned stop with less left over

Found while reading for them: at SIGTERM the policy rested after 1.8 s, so no final answer was given from then on. It now goes on to the end; only calls that could not end are kept back (unsafe ones from 1.2 s, all from 2.2 s). Idle connections to an endpoint that reset, refused or went silent are given up, since each would hang or be reset under a call that may then have run.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -74,8 +74,8 @@
 const (
 	listPath    = "/registry/instances"
 	noticePath  = "/reports"
-	discSilence = 5 * time.Second // a watch says something every 2 s
-	discAnswer  = 3 * time.Second // the agent answers at once, or is down
+	discSilence = 3500 * time.Millisecond // a watch says something every 2 s
+	discAnswer  = time.Second             // the agent answers at once, or is down
 	discPause   = 200 * time.Millisecond
 	listMost    = 4 << 20 // bytes of a list or a line
 )
@@ -85,12 +85,13 @@
 func newPlainClient(conns int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: discAnswer}).DialContext,
-			MaxIdleConnsPerHost: conns,
-			MaxConnsPerHost:     conns,
-			IdleConnTimeout:     30 * time.Second,
-			DisableCompression:  true,
-			Protocols:           http1(),
+			DialContext:           (&net.Dialer{Timeout: discAnswer}).DialContext,
+			MaxIdleConnsPerHost:   conns,
+			MaxConnsPerHost:       conns,
+			ResponseHeaderTimeout: discAnswer,
+			IdleConnTimeout:       30 * time.Second,
+			DisableCompression:    true,
+			Protocols:             http1(),
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -34,10 +34,28 @@
 	zone     int
 	hostPort string
 	gone     bool // drained or removed: nothing new goes there
+	goneAt   decide.Time
+	answerAt decide.Time // when it last answered at all
 	conns    *http.Transport
 	calls    map[*call]bool
 }
 
+// suspect books how a call went and reports whether the endpoint's idle
+// connections are to be given up. After a machine was silent or died, each of
+// them would hang or be reset under a call that may then have run.
+func (ep *endpoint) suspect(o *outcome, now decide.Time) bool {
+	switch o.what {
+	case decide.Reset, decide.NoConnect:
+		return true
+	case decide.TimedOut, decide.Cancelled:
+		return ep.answerAt < now-o.took // others that were sent later were answered: one slow call
+	}
+	if o.status != 0 {
+		ep.answerAt = now
+	}
+	return false
+}
+
 // newConns makes the connections of one endpoint. Each endpoint has its own,
 // so that its idle ones can be given back alone.
 func newConns(set *decide.Settings, idle int) *http.Transport {
--- /dev/null
+++ b/internal/relay/fake_test.go
@@ -0,0 +1,359 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// childEnv makes the test's own program a relay, so that a test can kill one.
+const childEnv = "TROUTUSHER_TEST_CHILD"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(childEnv) == "" {
+		os.Exit(m.Run())
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	cfg, err := LoadConfig(os.Getenv)
+	if err != nil {
+		log.Error("child", "err", err)
+		os.Exit(2)
+	}
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	if err := Run(cfg, log, ctx.Done()); err != nil {
+		log.Error("child", "err", err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+const testSettings = `{"accounts":[{"name":"acme","quota_per_s":1000,"share":1}],"balancers":1,
+ "classes":[
+  {"deadline_us":20000000,"dedup_window_us":5000000,"group":"all","late_worth":0.1,"name":"plain","repeat":"retryable","target_us":1500000,"worth":1},
+  {"deadline_us":20000000,"dedup_window_us":20000000,"group":"all","late_worth":0.3,"name":"keyed","repeat":"dedup","target_us":3000000,"worth":1},
+  {"deadline_us":20000000,"dedup_window_us":5000000,"group":"all","late_worth":0.4,"name":"once","repeat":"fragile","target_us":3000000,"worth":3}],
+ "discovery":"pushed","kinds":["k"],"localities":["a","b"],
+ "limits":{"connect_timeout_us":1500000,"keepalive_us":10000000,"max_retry_after_us":2000000,"may_cancel":true,
+  "most_held":100,"most_tries":8,"probing":true,"retry_after":true,"streams_per_conn":8},
+ "safety":{"answer_slack_us":20000,"drain_grace_us":2000000,"fall_us":2000000,"overload_factor":1.5,"ramp_time_us":13000000,"start_capacity":0.26},
+ "specifics":{"calls_out":16,"kind_batch":[1],"late":"linear","own_limits":[false]},
+ "report":{"fields":[],"how":"none"},
+ "tick_us":5000,"value_by":"request","weights":"nominal","zone":0}`
+
+// waitFor waits for a condition, never for a time.
+func waitFor(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatalf("never came: %s", what)
+}
+
+func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// fakeDiscovery is the agent on a relay's machine.
+type fakeDiscovery struct {
+	*httptest.Server
+	mu       sync.Mutex
+	list     List
+	lines    []chan string // of the watches that are open
+	froms    []string      // what watches asked for
+	fetches  int
+	notices  map[string]notice
+	answer   int // status of notices
+	silent   bool
+	unheard  int // requests that came while silent
+	released chan struct{}
+}
+
+func newFakeDiscovery(t *testing.T, members ...Member) *fakeDiscovery {
+	d := &fakeDiscovery{list: List{Revision: 1, Complete: true, Members: members}, notices: map[string]notice{},
+		answer: http.StatusNoContent, released: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+listPath, d.serveList)
+	mux.HandleFunc("POST "+noticePath, d.serveNotices)
+	d.Server = httptest.NewServer(mux)
+	t.Cleanup(func() { close(d.released); d.CloseClientConnections(); d.Close() })
+	return d
+}
+
+func (d *fakeDiscovery) serveList(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	if d.silent {
+		d.unheard++
+		d.mu.Unlock()
+		select {
+		case <-r.Context().Done():
+		case <-d.released:
+		}
+		return
+	}
+	if r.URL.Query().Get("watch") == "" {
+		d.fetches++
+		json.NewEncoder(w).Encode(d.list)
+		d.mu.Unlock()
+		return
+	}
+	lines := make(chan string, 16)
+	d.lines = append(d.lines, lines)
+	d.froms = append(d.froms, r.URL.Query().Get("from"))
+	d.mu.Unlock()
+	w.WriteHeader(http.StatusOK)
+	w.(http.Flusher).Flush()
+	for {
+		select {
+		case s, ok := <-lines:
+			if !ok {
+				return
+			}
+			io.WriteString(w, s+"\n")
+			w.(http.Flusher).Flush()
+		case <-r.Context().Done():
+			return
+		case <-d.released:
+			return
+		case <-time.After(time.Second):
+			d.mu.Lock()
+			silent := d.silent
+			d.mu.Unlock()
+			if !silent {
+				io.WriteString(w, "\n")
+				w.(http.Flusher).Flush()
+			}
+		}
+	}
+}
+
+func (d *fakeDiscovery) serveNotices(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.answer == http.StatusNoContent {
+		for dec := json.NewDecoder(r.Body); dec.More(); {
+			var n notice
+			if dec.Decode(&n) != nil {
+				break
+			}
+			d.notices[n.Message] = n
+		}
+	}
+	w.WriteHeader(d.answer)
+}
+
+func (d *fakeDiscovery) addr() string { return d.Listener.Addr().String() }
+
+func (d *fakeDiscovery) notice(id string) (notice, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n, ok := d.notices[id]
+	return n, ok
+}
+
+func (d *fakeDiscovery) set(f func(*fakeDiscovery)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(d)
+}
+
+// say sends a line on the newest watch.
+func (d *fakeDiscovery) say(t *testing.T, line string) {
+	t.Helper()
+	waitFor(t, "a watch", func() bool { d.mu.Lock(); defer d.mu.Unlock(); return len(d.lines) > 0 })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lines[len(d.lines)-1] <- line
+}
+
+// fakeEndpoint answers calls by a function and keeps what came.
+type fakeEndpoint struct {
+	*httptest.Server
+	mu     sync.Mutex
+	calls  []gotCall
+	answer func(w http.ResponseWriter, r *http.Request, n int)
+}
+
+type gotCall struct {
+	id, key, timeout string
+	body             []byte
+}
+
+func newFakeEndpoint(t *testing.T, answer func(w http.ResponseWriter, r *http.Request, n int)) *fakeEndpoint {
+	e := &fakeEndpoint{answer: answer}
+	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.calls = append(e.calls, gotCall{r.Header.Get("X-Request-ID"), r.Header.Get("Idempotency-Key"), r.Header.Get("X-Timeout-Ms"), body})
+		n, answer := len(e.calls), e.answer
+		e.mu.Unlock()
+		if answer != nil {
+			answer(w, r, n)
+		}
+	}))
+	t.Cleanup(func() { e.CloseClientConnections(); e.Close() })
+	return e
+}
+
+// hang holds a call until its caller is gone.
+func hang(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() }
+
+func status(code int) func(http.ResponseWriter, *http.Request, int) {
+	return func(w http.ResponseWriter, _ *http.Request, _ int) { w.WriteHeader(code) }
+}
+
+func (e *fakeEndpoint) addr() string { return e.Listener.Addr().String() }
+
+func (e *fakeEndpoint) then(answer func(http.ResponseWriter, *http.Request, int)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.answer = answer
+}
+
+func (e *fakeEndpoint) count(id string) (n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.calls {
+		if c.id == id {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *fakeEndpoint) member(id string, cell int) Member {
+	return Member{ID: id, HostPort: e.addr(), Locality: "a", Flavor: "k", Cell: cell, Phase: phaseUp, Size: 1000}
+}
+
+// testConfig writes a configuration and returns the environment that names it.
+func testConfig(t *testing.T, d *fakeDiscovery, diskMB int) map[string]string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // a free port; it is let go at once
+	if err != nil {
+		t.Fatal(err)
+	}
+	listen := ln.Addr().String()
+	ln.Close()
+	dir := t.TempDir()
+	state := filepath.Join(dir, "state")
+	if err := os.Mkdir(state, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "config.json")
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","surplus":1,
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":%d},"settings":%s}`, listen, d.addr(), diskMB, testSettings)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return map[string]string{"ROUTER_CONFIG": path, "ROUTER_STATE": state, "ROUTER_LISTEN": listen,
+		"ROUTER_DISCOVERY": d.addr(), "ROUTER_NAME": "n1"}
+}
+
+// child is a relay in a process of its own.
+type child struct {
+	cmd *exec.Cmd
+	env map[string]string
+}
+
+func startChild(t *testing.T, env map[string]string) *child {
+	t.Helper()
+	c := &child{cmd: exec.Command(os.Args[0]), env: env}
+	c.cmd.Env = append(os.Environ(), childEnv+"=1")
+	for k, v := range env {
+		c.cmd.Env = append(c.cmd.Env, k+"="+v)
+	}
+	c.cmd.Stderr = testWriter{t}
+	if err := c.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.cmd.Process.Kill(); c.cmd.Wait() })
+	c.ready(t)
+	return c
+}
+
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(p []byte) (int, error) { os.Stderr.Write(p); return len(p), nil }
+
+func (c *child) ready(t *testing.T) {
+	t.Helper()
+	waitFor(t, "PONG", func() bool {
+		conn, err := net.Dial("tcp", c.env["ROUTER_LISTEN"])
+		if err != nil {
+			return false
+		}
+		defer conn.Close()
+		io.WriteString(conn, "*1\r\n$4\r\nPING\r\n")
+		s, _ := bufio.NewReader(conn).ReadString('\n')
+		return s == "+PONG\r\n"
+	})
+}
+
+func (c *child) kill() { c.cmd.Process.Kill(); c.cmd.Wait() }
+
+// testClient hands messages in over one connection.
+type testClient struct {
+	t *testing.T
+	net.Conn
+	in *bufio.Reader
+}
+
+func dialClient(t *testing.T, addr string) *testClient {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(30 * time.Second))
+	return &testClient{t, conn, bufio.NewReader(conn)}
+}
+
+func putText(id, fields string, body []byte) string {
+	var b strings.Builder
+	b.WriteString("*5\r\n")
+	for _, s := range []string{"MSG.PUT", "0000000000000000", id, fields, string(body)} {
+		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(s), s)
+	}
+	return b.String()
+}
+
+func (c *testClient) put(id, fields string, body []byte) string {
+	c.t.Helper()
+	io.WriteString(c, putText(id, fields, body))
+	return c.line()
+}
+
+func (c *testClient) line() string {
+	c.t.Helper()
+	s, err := c.in.ReadString('\n')
+	if err != nil {
+		c.t.Fatalf("no answer: %v", err)
+	}
+	return strings.TrimSuffix(s, "\r\n")
+}
+
+func fields(class string, deadlineMS int, dest int) string {
+	s := fmt.Sprintf("c=%s,t=acme,d=%d,dest=%d", class, deadlineMS, dest)
+	if class == "keyed" {
+		s += ",k=5c0f6e1a2b3d4c59"
+	}
+	return s
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -17,10 +17,12 @@
 // Figures of a planned end. A relay has 3.7 s from SIGTERM until it is killed.
 const (
 	stopListen = 600 * time.Millisecond  // new connections still come for a while
-	stopSends  = 1800 * time.Millisecond // no call begins after this
-	stopCalls  = 3200 * time.Millisecond // what is out by then stays open in the log
+	stopUnsafe = 1200 * time.Millisecond // no unsafe call begins after this: cut short, it would be lost
+	stopSends  = 2200 * time.Millisecond // no call at all
+	stopCalls  = 3300 * time.Millisecond // what is out by then stays open in the log
 	stopRetry  = 400                     // ms after which a client may come again, to another relay
 	firstList  = 1500 * time.Millisecond // how long the start waits for discovery
+	forgetGone = decide.Time(600e6)      // how long an endpoint that left is remembered
 	clockStart = decide.Time(3600e6)     // of the policy's clock: sends of an earlier process lie before it
 )
 
@@ -236,28 +238,39 @@
 			r.timerAt = 0
 			r.events = append(r.events, decide.Event{Kind: decide.EvTimer})
 		}
-		if r.stopAt.IsZero() || time.Since(r.stopAt) < stopSends {
-			if len(r.events) > 0 {
-				r.step()
-			}
-		} else {
-			r.timerAt = 0 // the policy rests: what it holds is for the next process
+		if len(r.events) > 0 {
+			r.step()
 		}
 		if r.stopAt.IsZero() {
 			continue
 		}
-		if listening && time.Since(r.stopAt) >= stopListen {
+		gone := time.Since(r.stopAt)
+		if listening && gone >= stopListen {
 			listening = false
 			ln.Close()
 		}
-		if gone := time.Since(r.stopAt); !listening && len(r.waiting) == 0 && r.calls == 0 &&
-			(gone >= stopSends || r.held == 0) || gone >= stopCalls {
+		idle := len(r.waiting) == 0 && r.calls == 0 && (r.held == 0 || gone >= stopSends)
+		if !listening && idle || gone >= stopCalls {
 			r.log.Info("stopped", "held", r.held, "calls", r.calls)
 			return
 		}
 	}
 }
 
+// shelve reports whether a call of a message is no longer begun, since the
+// process will not be there for its end. The policy goes on to hold it to be
+// out; the next process takes the message up from the log.
+func (r *Relay) shelve(m *message) bool {
+	if r.stopAt.IsZero() {
+		return false
+	}
+	last := stopSends
+	if i, ok := r.cfg.classes[m.rec.Class]; ok && r.cfg.Policy.Classes[i].Repeat == decide.Unsafe {
+		last = stopUnsafe
+	}
+	return time.Since(r.stopAt) >= last
+}
+
 // take books one happening and says it in the policy's words.
 func (r *Relay) take(h happening) {
 	switch {
@@ -319,7 +332,7 @@
 		return
 	}
 	m.heard = true
-	if a := m.pending; a != nil {
+	if a := m.pending; a != nil && !r.shelve(m) {
 		m.pending = nil
 		r.send(m, a)
 	}
@@ -384,6 +397,12 @@
 		}
 	}
 	r.events = append(r.events, e)
+	for id, ep := range r.endpoints { // the list's comings and goings must not fill the memory
+		if ep.gone && len(ep.calls) == 0 && r.now()-ep.goneAt > forgetGone {
+			delete(r.endpoints, id)
+			delete(r.byNum, ep.num)
+		}
+	}
 }
 
 func (r *Relay) member(x *Member) decide.Entry {
@@ -418,7 +437,9 @@
 // leave lets nothing new go to an endpoint; a call that still waits for a
 // connection there would begin it too late.
 func (r *Relay) leave(ep *endpoint) {
-	ep.gone = true
+	if !ep.gone {
+		ep.gone, ep.goneAt = true, r.now()
+	}
 	for c := range ep.calls {
 		c.drained()
 	}
@@ -530,7 +551,7 @@
 		}
 		m.tries++
 		c := *a
-		if m.heard {
+		if m.heard && !r.shelve(m) {
 			r.send(m, &c)
 		} else {
 			m.pending = &c
@@ -614,6 +635,9 @@
 		r.calls--
 	}
 	r.events = append(r.events, e)
+	if c.ep != nil && c.ep.conns != nil && c.ep.suspect(o, r.now()) {
+		c.ep.conns.CloseIdleConnections()
+	}
 	if o.what != decide.Delivered {
 		r.log.Info("attempt", "message", m.rec.ID, "dest", m.rec.Dest, "class", m.rec.Class, "endpoint", e.Endpoint,
 			"attempt", c.attempt, "outcome", int(o.what), "status", o.status, "took_ms", o.took/1000, "err", o.err)
--- /dev/null
+++ b/internal/relay/restart_test.go
@@ -0,0 +1,193 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+)
+
+// Id, key and body go on as they came, whatever bytes they hold.
+func TestDeliver(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	c := startChild(t, testConfig(t, newFakeDiscovery(t, ep.member("s-1", 7)), 3))
+	cl := dialClient(t, c.env["ROUTER_LISTEN"])
+	bodies := [][]byte{nil, []byte("\r\n\x00\xff*5\r\n"), []byte(strings.Repeat("x", bodyMost))}
+	for i, body := range bodies {
+		id := fmt.Sprintf("m%d", i)
+		if s := cl.put(id, fields("keyed", 8000, 7), body); s != "+OK" {
+			t.Fatalf("body %d: %s", i, s)
+		}
+		waitFor(t, "the call", func() bool { return ep.count(id) == 1 })
+		ep.mu.Lock()
+		got := ep.calls[len(ep.calls)-1]
+		ep.mu.Unlock()
+		if got.key != "5c0f6e1a2b3d4c59" || string(got.body) != string(body) || got.timeout == "" {
+			t.Errorf("body %d: arrived as key %q, timeout %q, %d bytes", i, got.key, got.timeout, len(got.body))
+		}
+	}
+}
+
+// Guards what was taken on against SIGKILL: an unsafe attempt with no outcome
+// may have run and fails by notice, a keyed one goes out again in its window,
+// one that was only turned away goes on, and what was delivered stays so.
+func TestKilled(t *testing.T) {
+	done := newFakeEndpoint(t, nil)
+	stuck := newFakeEndpoint(t, hang)
+	full := newFakeEndpoint(t, status(http.StatusServiceUnavailable))
+	keyed := newFakeEndpoint(t, hang)
+	disc := newFakeDiscovery(t, done.member("s-1", 1), stuck.member("s-2", 2), full.member("s-3", 3), keyed.member("s-4", 4))
+	env := testConfig(t, disc, 3)
+	c := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	for id, f := range map[string]string{"done": fields("once", 20000, 1), "stuck": fields("once", 20000, 2),
+		"full": fields("once", 20000, 3), "keyed": fields("keyed", 20000, 4)} {
+		if s := cl.put(id, f, []byte("body of "+id)); s != "+OK" {
+			t.Fatalf("%s: %s", id, s)
+		}
+	}
+	waitFor(t, "calls", func() bool {
+		return done.count("done") == 1 && stuck.count("stuck") == 1 && full.count("full") >= 1 && keyed.count("keyed") == 1
+	})
+	waitFor(t, "the outcomes in the log", func() bool {
+		text, _ := os.ReadFile(filepath.Join(env["ROUTER_STATE"], walName))
+		return strings.Contains(string(text), `"kind":"end","id":"done"`) && strings.Contains(string(text), `"kind":"outcome","id":"full"`)
+	})
+	c.kill()
+	for _, e := range []*fakeEndpoint{stuck, full, keyed} {
+		e.then(nil)
+	}
+	startChild(t, env)
+	waitFor(t, "notice of the unsafe one", func() bool { n, ok := disc.notice("stuck"); return ok && n.Outcome == endGivenUp })
+	waitFor(t, "the others", func() bool { return full.count("full") >= 2 && keyed.count("keyed") == 2 })
+	if n := stuck.count("stuck"); n != 1 {
+		t.Errorf("the unsafe message went out %d times", n)
+	}
+	if n := done.count("done"); n != 1 {
+		t.Errorf("the delivered message went out %d times", n)
+	}
+	keyed.mu.Lock()
+	defer keyed.mu.Unlock()
+	if got := keyed.calls[1]; string(got.body) != "body of keyed" || got.key != "5c0f6e1a2b3d4c59" {
+		t.Errorf("the keyed message came back as %+v", got)
+	}
+}
+
+// Guards the end of what ran out of time while no process ran: its notice
+// comes straight after the start. A notice that was not taken is sent again.
+func TestOverdueAfterRestart(t *testing.T) {
+	disc := newFakeDiscovery(t)
+	env := testConfig(t, disc, 3)
+	disc.set(func(d *fakeDiscovery) { d.answer = http.StatusInternalServerError })
+	c := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	for _, id := range []string{"short", "later"} {
+		if s := cl.put(id, fields("plain", map[string]int{"short": 100, "later": 1500}[id], 9), nil); s != "+OK" {
+			t.Fatal(s)
+		}
+	}
+	waitFor(t, "an ending in the log", func() bool {
+		text, _ := os.ReadFile(filepath.Join(env["ROUTER_STATE"], walName))
+		return strings.Contains(string(text), `"kind":"ending","id":"short"`)
+	})
+	c.kill()
+	disc.set(func(d *fakeDiscovery) { d.answer = http.StatusNoContent })
+	startChild(t, env)
+	for _, id := range []string{"short", "later"} {
+		waitFor(t, "notice of "+id, func() bool { n, ok := disc.notice(id); return ok && n.Outcome == endHandedBack })
+	}
+	waitFor(t, "ends in the log", func() bool {
+		text, _ := os.ReadFile(filepath.Join(env["ROUTER_STATE"], walName))
+		return strings.Contains(string(text), `"kind":"end","id":"short"`) && strings.Contains(string(text), `"kind":"end","id":"later"`)
+	})
+}
+
+// Guards a planned end: calls that are out finish, new work is refused
+// harmlessly, what is held waits in the log, and the exit code is 0.
+func TestTerminated(t *testing.T) {
+	release, entered := make(chan struct{}), atomic.Int32{}
+	slow := newFakeEndpoint(t, func(_ http.ResponseWriter, r *http.Request, _ int) {
+		entered.Add(1)
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	disc := newFakeDiscovery(t, slow.member("s-1", 1))
+	env := testConfig(t, disc, 3)
+	c := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	if s := cl.put("out", fields("once", 20000, 1), nil); s != "+OK" {
+		t.Fatal(s)
+	}
+	if s := cl.put("held", fields("plain", 20000, 5), nil); s != "+OK" { // nobody serves 5 yet
+		t.Fatal(s)
+	}
+	waitFor(t, "the call", func() bool { return entered.Load() == 1 })
+	c.cmd.Process.Signal(syscall.SIGTERM)
+	if _, err := cl.in.ReadByte(); err == nil {
+		t.Error("an idle client's connection stays open")
+	}
+	late := dialClient(t, env["ROUTER_LISTEN"]) // connections go on coming for a while
+	if s := late.put("late", fields("plain", 8000, 1), nil); !strings.HasPrefix(s, "-BUSY ") {
+		t.Errorf("new work at the end is answered %q", s)
+	}
+	close(release)
+	if err := c.cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	if n := slow.count("late"); n != 0 {
+		t.Error("a refused message went out")
+	}
+	other := newFakeEndpoint(t, nil)
+	disc.set(func(d *fakeDiscovery) { d.list.Members = append(d.list.Members, other.member("s-5", 5)) })
+	startChild(t, env)
+	waitFor(t, "the held message", func() bool { return other.count("held") == 1 })
+	if n := slow.count("out"); n != 1 {
+		t.Errorf("the finished call went out %d times", n)
+	}
+	if _, ok := disc.notice("out"); ok {
+		t.Error("a delivered message was ended by a notice")
+	}
+}
+
+// Guards the disk: full holdings of long bodies may not fit into it, and what
+// does not fit is refused before the folder is over its limit.
+func TestDiskBound(t *testing.T) {
+	env := testConfig(t, newFakeDiscovery(t), 1)
+	c := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	body := []byte(strings.Repeat("b", bodyMost))
+	taken, refused := 0, 0
+	for i := range 40 {
+		switch s := cl.put(fmt.Sprintf("m%d", i), fields("plain", 20000, 9), body); {
+		case s == "+OK":
+			taken++
+		case strings.HasPrefix(s, "-BUSY"):
+			refused++
+		default:
+			t.Fatal(s)
+		}
+		size := int64(0)
+		files, err := os.ReadDir(env["ROUTER_STATE"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range files {
+			if info, err := f.Info(); err == nil {
+				size += (info.Size() + 511) / 512 * 512
+			}
+		}
+		if size > 1<<20 {
+			t.Fatalf("%d bytes on a disk of 1 MB", size)
+		}
+	}
+	if taken == 0 || refused == 0 {
+		t.Errorf("taken %d, refused %d: want both", taken, refused)
+	}
+	_ = c
+}
