Cover each part of the relay over loopback sockets

Outcomes by PROTOCOL's table, what net/http might send again by itself, a drain that comes while a call waits for its connection, bad RESP input, bad discovery lines, silent discovery, notices that are not taken, damage to the log and its bound, bad configuration, and the resumed message in the module.

--- /dev/null
+++ b/decide/resume_test.go
@@ -0,0 +1,62 @@
+package decide
+
+import "testing"
+
+// A message that an earlier process took on keeps its past: what may have run
+// goes out again only as its class allows, and its attempts count on.
+func TestResume(t *testing.T) {
+	set := Settings{Relays: 1, Slots: 8, MaxAttempts: 3, Tick: 5000, RatesListed: true, RetryAfter: true,
+		StartCapacity: 0.2, RampTime: 10 * second, OverloadFactor: 2, FallTime: 3 * second, Kinds: []Kind{{Batch: 1}},
+		Classes: []Class{
+			{Name: "safe", Aim: 2 * second, Deadline: 20 * second, Worth: 1, Repeat: Safe},
+			{Name: "keyed", Aim: 2 * second, Deadline: 20 * second, Worth: 1, Repeat: Keyed, DedupWindow: 5 * second},
+			{Name: "unsafe", Aim: 2 * second, Deadline: 20 * second, Worth: 1, Repeat: Unsafe}}}
+	now := 100 * second
+	for name, x := range map[string]struct {
+		class, tries int
+		doubt, left  Time
+		want         ActionKind
+	}{
+		"new":                       {class: 2, left: 9 * second, want: ActSend},
+		"unsafe, may have run":      {class: 2, tries: 1, doubt: now - second, left: 9 * second, want: ActFail},
+		"unsafe, never ran":         {class: 2, tries: 2, left: 9 * second, want: ActSend},
+		"unsafe, never ran, used":   {class: 2, tries: 3, left: 9 * second, want: ActRefuse},
+		"keyed, in its window":      {class: 1, tries: 1, doubt: now - 2*second, left: 9 * second, want: ActSend},
+		"keyed, window over":        {class: 1, tries: 1, doubt: now - 6*second, left: 9 * second, want: ActFail},
+		"safe, may have run":        {class: 0, tries: 1, doubt: now - 6*second, left: 9 * second, want: ActSend},
+		"overdue":                   {class: 0, tries: 1, left: -second, want: ActRefuse},
+		"unsafe, overdue, in doubt": {class: 2, tries: 1, doubt: now - 6*second, left: -second, want: ActFail},
+		"overdue, never tried":      {class: 2, left: 0, want: ActRefuse},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, err := New(set, 42)
+			if err != nil {
+				t.Fatal(err)
+			}
+			actions := p.Step(now, []Event{
+				{Kind: EvList, List: ListFull, Entries: []Entry{{Endpoint: 7, Dest: 1, State: Ready, Rate: 20}}},
+				{Kind: EvMessage, Message: 1, Class: x.class, Dest: 1, Left: x.left, Tries: x.tries, DoubtAt: x.doubt},
+			}, nil)
+			var got []ActionKind
+			for _, a := range actions {
+				if a.Kind != ActTimer && a.Kind != ActLog {
+					got = append(got, a.Kind)
+				}
+			}
+			if len(got) != 1 || got[0] != x.want {
+				t.Fatalf("actions %v, want %v", got, x.want)
+			}
+			if x.want != ActSend {
+				return
+			}
+			// The attempt counts on from those before: its outcome bears their number.
+			after := p.Step(now+second/10, []Event{{Kind: EvOutcome, Message: 1, Attempt: x.tries, Endpoint: 7,
+				Outcome: Delivered, Settled: true, Took: second / 10}}, nil)
+			for _, a := range after {
+				if a.Kind != ActTimer && a.Kind != ActLog {
+					t.Errorf("still to do: %v", a.Kind)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/relay/clients_test.go
@@ -0,0 +1,196 @@
+package relay
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// serveClients runs the client side alone; put stands for the loop.
+func serveClients(t *testing.T, put func(*request)) (*clients, string, chan bool) {
+	t.Helper()
+	said := make(chan bool, 16)
+	c := newClients(testSet(t), quietLog(), put, func(_ *request, ok bool) { said <- ok })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go c.serve(ln)
+	return c, ln.Addr().String(), said
+}
+
+func accept(q *request) { q.answer(replyOK) }
+
+// Guards against what no client should send: nothing is taken, the fault is
+// named, and a connection that is still in step goes on.
+func TestBadInput(t *testing.T) {
+	long := strings.Repeat("x", bodyMost+1)
+	for name, x := range map[string]struct {
+		text string
+		ends bool
+	}{
+		"inline":           {"PING\r\n", true},
+		"no number":        {"*x\r\n", true},
+		"no arguments":     {"*0\r\n", true},
+		"negative":         {"*-1\r\n", true},
+		"many arguments":   {"*999999999\r\n", true},
+		"huge argument":    {"*1\r\n$999999999\r\n", true},
+		"negative length":  {"*1\r\n$-5\r\n", true},
+		"long number":      {"*" + strings.Repeat("1", 99) + "\r\n", true},
+		"no end":           {"*1\r\n$4\r\nPINGxx", true},
+		"not a bulk":       {"*1\r\n:4\r\n", true},
+		"unknown command":  {"*1\r\n$3\r\nGET\r\n", false},
+		"long body":        {putText("m", fields("plain", 8000, 1), []byte(long)), false},
+		"few arguments":    {"*2\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n", false},
+		"unknown class":    {putText("m", "c=other,t=acme,d=1,dest=1", nil), false},
+		"no class":         {putText("m", "t=acme,d=1,dest=1", nil), false},
+		"unknown tenant":   {putText("m", "c=plain,t=other,d=1,dest=1", nil), false},
+		"no time":          {putText("m", "c=plain,t=acme,dest=1", nil), false},
+		"bad time":         {putText("m", "c=plain,t=acme,d=NaN,dest=1", nil), false},
+		"negative time":    {putText("m", "c=plain,t=acme,d=-1,dest=1", nil), false},
+		"no destination":   {putText("m", "c=plain,t=acme,d=1", nil), false},
+		"bad destination":  {putText("m", "c=plain,t=acme,d=1,dest=-3", nil), false},
+		"no key":           {putText("m", "c=keyed,t=acme,d=1,dest=1", nil), false},
+		"key in two lines": {putText("m", "c=keyed,t=acme,d=1,dest=1,k=a\r\nX: b", nil), false},
+		"id in two lines":  {putText("a\r\nX: b", fields("plain", 1, 1), nil), false},
+		"no id":            {putText("", fields("plain", 1, 1), nil), false},
+		"field alone":      {putText("m", "c", nil), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, addr, _ := serveClients(t, func(q *request) { t.Error("taken"); accept(q) })
+			cl := dialClient(t, addr)
+			io.WriteString(cl, x.text)
+			if s := cl.line(); !strings.HasPrefix(s, "-ERR ") {
+				t.Fatalf("answer %q", s)
+			}
+			if x.ends {
+				if _, err := cl.in.ReadByte(); !errors.Is(err, io.EOF) {
+					t.Errorf("still open: %v", err)
+				}
+				return
+			}
+			io.WriteString(cl, "*2\r\n$4\r\nping\r\n$2\r\nhi\r\n")
+			if s := cl.line() + cl.line(); s != "$2hi" {
+				t.Errorf("out of step: %q", s)
+			}
+		})
+	}
+}
+
+func TestParsePut(t *testing.T) {
+	now := time.UnixMicro(1e15)
+	q, err := testSet(t).parsePut([][]byte{[]byte("MSG.PUT"), nil, []byte("id1"),
+		[]byte("c=keyed,t=acme,d=1500.5,k=k1,dest=12,r=1,again=1,new=x"), []byte("b")}, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if q.class != 1 || q.tenant != 0 || q.rec.Dest != 12 || q.rec.Key != "k1" || q.rec.ID != "id1" ||
+		q.rec.Deadline != 1e15+1500500 || string(q.rec.body) != "b" {
+		t.Errorf("got %+v, %+v", q, q.rec)
+	}
+}
+
+// Guards a client's give-up: one that leaves before its answer has not heard
+// that its message was taken on, and may hand it in elsewhere.
+func TestClientGoneBeforeAnswer(t *testing.T) {
+	got := make(chan *request, 1)
+	_, addr, said := serveClients(t, func(q *request) { got <- q })
+	cl := dialClient(t, addr)
+	io.WriteString(cl, putText("m", fields("plain", 8000, 1), nil))
+	q := <-got
+	cl.Close()
+	if <-said {
+		t.Error("held to be heard")
+	}
+	q.answer(replyOK) // comes too late and blocks nobody
+}
+
+// A client that sends ahead gets its answers in turn.
+func TestSentAhead(t *testing.T) {
+	first := make(chan *request, 1)
+	_, addr, said := serveClients(t, func(q *request) {
+		if q.rec.ID == "a" {
+			first <- q
+			return
+		}
+		q.answer(busy(7))
+	})
+	cl := dialClient(t, addr)
+	io.WriteString(cl, putText("a", fields("plain", 8000, 1), nil)+putText("b", fields("plain", 8000, 1), nil)+"*1\r\n$4\r\nPING\r\n")
+	(<-first).answer(replyOK)
+	if s := cl.line() + cl.line() + cl.line(); s != "+OK-BUSY 7+PONG" {
+		t.Errorf("answers %q", s)
+	}
+	if !<-said || !<-said {
+		t.Error("not held to be heard")
+	}
+}
+
+// Guards against losing a request to a close: a connection is closed only
+// between requests, one with a request under way after its answer.
+func TestCloseBetweenRequests(t *testing.T) {
+	got := make(chan *request, 1)
+	c, addr, _ := serveClients(t, func(q *request) { got <- q })
+	idle, busyOne := dialClient(t, addr), dialClient(t, addr)
+	io.WriteString(idle, "*1\r\n$4\r\nPING\r\n")
+	idle.line()
+	io.WriteString(busyOne, putText("m", fields("plain", 8000, 1), nil))
+	q := <-got
+	c.closeIdle()
+	if _, err := idle.in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("idle: %v", err)
+	}
+	q.answer(replyOK)
+	if s := busyOne.line(); s != "+OK" {
+		t.Errorf("answer %q", s)
+	}
+	if _, err := busyOne.in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("after its answer: %v", err)
+	}
+}
+
+// Guards the limit on descriptors: past it the connection that was idle for
+// longest makes room, and the new one is served.
+func TestConnectionsBounded(t *testing.T) {
+	c, addr, _ := serveClients(t, accept)
+	c.mu.Lock()
+	c.most = 2
+	c.mu.Unlock()
+	var all []*testClient
+	for i := range 3 {
+		cl := dialClient(t, addr)
+		if s := cl.put("m"+strconv.Itoa(i), fields("plain", 8000, 1), nil); s != "+OK" {
+			t.Fatal(s)
+		}
+		all = append(all, cl)
+	}
+	if _, err := all[0].in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the oldest: %v", err)
+	}
+	if s := all[1].put("x", fields("plain", 8000, 1), nil); s != "+OK" {
+		t.Error(s)
+	}
+}
+
+func FuzzReadCommand(f *testing.F) {
+	f.Add([]byte(putText("m", "c=plain", []byte("b"))))
+	f.Add([]byte("*1\r\n$4\r\nPING\r\n"))
+	f.Add([]byte("*2\r\n$-1\r\n$"))
+	cfg := &Config{classes: map[string]int{}, tenants: map[string]int{}}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		args, err := readCommand(bufio.NewReader(strings.NewReader(string(b))))
+		if err != nil {
+			return
+		}
+		if len(args) == 0 || len(args) > argsMost {
+			t.Fatalf("%d arguments", len(args))
+		}
+		cfg.parsePut(args, time.Now())
+	})
+}
--- /dev/null
+++ b/internal/relay/discovery_test.go
@@ -0,0 +1,125 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// watchList runs discovery and hands on what it hears.
+func watchList(t *testing.T, d *fakeDiscovery, silence time.Duration) chan *List {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	news, done := make(chan *List, 64), make(chan struct{})
+	x := newDiscovery(d.addr(), quietLog(), func(l *List) { news <- l })
+	x.silence = silence
+	go func() { defer close(done); x.run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return news
+}
+
+func next(t *testing.T, news chan *List) *List {
+	t.Helper()
+	select {
+	case l := <-news:
+		return l
+	case <-time.After(30 * time.Second):
+		t.Fatal("no news")
+		return nil
+	}
+}
+
+func change(rev int64, m Member) string {
+	text, _ := json.Marshal(List{Revision: rev, Members: []Member{m}})
+	return string(text)
+}
+
+// Changes follow the whole list; after a break the watch goes on from the
+// version that was reached, and a line that cannot be read makes the whole
+// list be fetched again.
+func TestWatch(t *testing.T) {
+	m := Member{ID: "s-1", HostPort: "127.0.0.1:1", Cell: 3, Phase: phaseUp}
+	d := newFakeDiscovery(t, m)
+	news := watchList(t, d, testLimit)
+	if l := next(t, news); !l.Complete || len(l.Members) != 1 {
+		t.Fatalf("first %+v", l)
+	}
+	m.Phase = phaseDraining
+	d.say(t, change(2, m))
+	if l := next(t, news); l.Revision != 2 || l.Complete || l.Members[0].Phase != phaseDraining {
+		t.Fatalf("then %+v", l)
+	}
+	d.set(func(d *fakeDiscovery) { close(d.lines[0]) }) // the connection ends
+	waitFor(t, "a second watch", func() bool { d.mu.Lock(); defer d.mu.Unlock(); return len(d.froms) == 2 })
+	d.mu.Lock()
+	from, fetches := d.froms[1], d.fetches
+	d.mu.Unlock()
+	if from != "2" || fetches != 1 {
+		t.Errorf("goes on from %s after %d fetches", from, fetches)
+	}
+	for i, bad := range []string{`{"revision":3,"members":[{"id":"s-1"`, `{"revision":3,"members":[{"id":"s-1","phase":"asleep"}]}`,
+		`{"revision":3}`, `{"revision":3,"members":[{"id":"s-1","phase":"up","host_port":"nowhere"}]}`} {
+		d.say(t, bad)
+		if l := next(t, news); !l.Complete {
+			t.Fatalf("after line %d: %+v", i, l)
+		}
+		waitFor(t, "a further watch", func() bool { d.mu.Lock(); defer d.mu.Unlock(); return len(d.froms) == 3+i })
+	}
+}
+
+// Guards against a watch that is open and dead: one that says nothing, not
+// even an empty line, is given up.
+func TestSilentWatch(t *testing.T) {
+	d := newFakeDiscovery(t, Member{ID: "s-1", HostPort: "127.0.0.1:1", Phase: phaseUp})
+	news := watchList(t, d, 100*time.Millisecond)
+	next(t, news)
+	waitFor(t, "a second watch", func() bool { d.mu.Lock(); defer d.mu.Unlock(); return len(d.froms) >= 2 })
+}
+
+// Guards the start against silent discovery: the relay answers with the list
+// that it was given.
+func TestStartWithoutDiscovery(t *testing.T) {
+	d := newFakeDiscovery(t)
+	d.set(func(d *fakeDiscovery) { d.silent = true })
+	env := testConfig(t, d, 3)
+	c := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	if s := cl.put("m", fields("plain", 20000, 1), nil); s != "+OK" {
+		t.Error(s)
+	}
+	_ = c
+}
+
+// Notices are sent until they are taken; one that cannot be read does not hold
+// up the others.
+func TestNotices(t *testing.T) {
+	d := newFakeDiscovery(t)
+	d.set(func(d *fakeDiscovery) { d.answer = http.StatusInternalServerError })
+	taken := make(chan string, 16)
+	n := newNotices(d.addr(), quietLog(), func(id string) { taken <- id })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); n.run(ctx) }()
+	defer func() { cancel(); <-done }()
+	n.in.put(notice{"a", endGivenUp, 0})
+	n.in.put(notice{"b", endHandedBack, 500})
+	select {
+	case id := <-taken:
+		t.Fatalf("%s held to be told", id)
+	case <-time.After(50 * time.Millisecond):
+	}
+	d.set(func(d *fakeDiscovery) { d.answer = http.StatusNoContent })
+	for range 2 {
+		<-taken
+	}
+	if b, _ := d.notice("b"); b != (notice{"b", endHandedBack, 500}) {
+		t.Errorf("told %+v", b)
+	}
+	d.set(func(d *fakeDiscovery) { d.answer = http.StatusBadRequest })
+	n.in.put(notice{"c", endGivenUp, 0})
+	if id := <-taken; id != "c" {
+		t.Errorf("%s in place of c", id)
+	}
+}
--- /dev/null
+++ b/internal/relay/endpoints_test.go
@@ -0,0 +1,271 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"troutusher/decide"
+)
+
+func testSet(t *testing.T) *Config {
+	t.Helper()
+	c, err := parseConfig([]byte(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","state":"x","seed":"1","settings":`+
+		testSettings+`}`), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func newTestCall() *call {
+	ctx, stop := context.WithCancelCause(context.Background())
+	return &call{m: &message{}, ctx: ctx, stop: stop}
+}
+
+const testLimit = 20 * time.Second
+
+// rawEndpoint serves connections by hand, for what no HTTP server does.
+func rawEndpoint(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer conn.Close(); serve(conn) }()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// readCall reads one whole call off a connection.
+func readCall(in *bufio.Reader) bool {
+	req, err := http.ReadRequest(in)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err == nil
+}
+
+func TestOutcomes(t *testing.T) {
+	say := func(text string) func(net.Conn) {
+		return func(c net.Conn) {
+			if readCall(bufio.NewReader(c)) {
+				io.WriteString(c, text)
+			}
+		}
+	}
+	for name, x := range map[string]struct {
+		serve   func(net.Conn)
+		what    decide.Outcome
+		wait    decide.Time
+		slots   bool
+		settled bool
+	}{
+		"delivered":          {serve: say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), what: decide.Delivered, settled: true},
+		"delivered, cut":     {serve: say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), what: decide.Delivered, settled: true},
+		"error":              {serve: say("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"), what: decide.Errored},
+		"told to wait":       {serve: say("HTTP/1.1 429 W\r\nRetry-After: 0.75\r\nContent-Length: 0\r\n\r\n"), what: decide.Full, wait: 750000},
+		"full":               {serve: say("HTTP/1.1 503 F\r\nContent-Length: 0\r\n\r\n"), what: decide.Full},
+		"slots taken":        {serve: say("HTTP/1.1 503 F\r\nSlots-Taken: 1\r\nContent-Length: 0\r\n\r\n"), what: decide.NotSent, slots: true},
+		"attempts used up":   {serve: say("HTTP/1.1 504 A\r\nContent-Length: 0\r\n\r\n"), what: decide.NotSent},
+		"over":               {serve: say("HTTP/1.1 410 G\r\nContent-Length: 0\r\n\r\n"), what: decide.NotSent, settled: true},
+		"no page names it":   {serve: say("HTTP/1.1 418 T\r\nContent-Length: 0\r\n\r\n"), what: decide.Errored},
+		"no redirect":        {serve: say("HTTP/1.1 307 R\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n"), what: decide.Errored},
+		"broken after":       {serve: say(""), what: decide.Reset},
+		"nonsense":           {serve: say("what?\r\n\r\n"), what: decide.Reset},
+		"half an answer":     {serve: say("HTTP/1.1 20"), what: decide.Reset},
+		"first a hint, then": {serve: say("HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), what: decide.Delivered, settled: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conns := newConns(&testSet(t).Policy, 2)
+			defer conns.CloseIdleConnections()
+			o := newTestCall().run(conns, rawEndpoint(t, x.serve), &record{ID: "m", Key: "k", body: []byte("b")}, testLimit, nil)
+			if o.what != x.what || o.wait != x.wait || o.slots != x.slots || o.settled != x.settled {
+				t.Errorf("got %+v", o)
+			}
+		})
+	}
+}
+
+// Guards the difference between what never ran and what may have: a refused
+// connection never ran, silence after the last byte may have.
+func TestOutcomesWithoutAnswer(t *testing.T) {
+	conns := newConns(&testSet(t).Policy, 2)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := ln.Addr().String()
+	ln.Close()
+	if o := newTestCall().run(conns, refused, &record{ID: "m"}, testLimit, nil); o.what != decide.NoConnect {
+		t.Errorf("refused: %+v", o)
+	}
+	gone := make(chan struct{}, 2)
+	entered := make(chan struct{}, 2)
+	silent := rawEndpoint(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		readCall(in)
+		entered <- struct{}{}
+		in.ReadByte() // until the caller closes
+		gone <- struct{}{}
+	})
+	if o := newTestCall().run(conns, silent, &record{ID: "m"}, 50*time.Millisecond, nil); o.what != decide.TimedOut {
+		t.Errorf("silent: %+v", o)
+	}
+	<-entered
+	<-gone // giving up closes the connection
+	c := newTestCall()
+	go func() { <-entered; c.stop(errCancelled) }()
+	if o := c.run(conns, silent, &record{ID: "m"}, testLimit, nil); o.what != decide.Cancelled {
+		t.Errorf("cancelled: %+v", o)
+	}
+	<-gone
+}
+
+// Guards against a client library that sends a call again by itself: an
+// idempotency key makes a POST replayable to net/http, which would repeat it
+// where a kept-alive connection breaks under it.
+func TestNoResendByItself(t *testing.T) {
+	for name, body := range map[string][]byte{"body": []byte("b"), "empty body": nil} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int32
+			addr := rawEndpoint(t, func(c net.Conn) {
+				in := bufio.NewReader(c)
+				for readCall(in) {
+					if calls.Add(1) == 2 {
+						return // the second call on a kept connection breaks
+					}
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+			conns := newConns(&testSet(t).Policy, 2)
+			defer conns.CloseIdleConnections()
+			rec := &record{ID: "m", Key: "k", body: body}
+			if o := newTestCall().run(conns, addr, rec, testLimit, nil); o.what != decide.Delivered {
+				t.Fatalf("first: %+v", o)
+			}
+			if o := newTestCall().run(conns, addr, rec, testLimit, nil); o.what != decide.Reset {
+				t.Errorf("second: %+v", o)
+			}
+			if n := calls.Load(); n != 2 {
+				t.Errorf("the endpoint saw %d calls, want 2", n)
+			}
+		})
+	}
+	req, err := newCallRequest(context.Background(), "127.0.0.1:1", "m", "k", []byte("b"), time.Second)
+	if err != nil || req.GetBody != nil || req.Body == http.NoBody {
+		t.Errorf("request can be rewound: GetBody %v, body %v, err %v", req.GetBody != nil, req.Body, err)
+	}
+}
+
+// Guards the drain grace: a call that waits for its connection when the word
+// of a drain comes must not begin when the connection is there at last.
+func TestDrainStopsWaitingCall(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	dialing, release, up := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	conns := newConns(&testSet(t).Policy, 2)
+	conns.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		close(dialing)
+		<-release
+		defer close(up)
+		return net.Dial(network, addr)
+	}
+	defer conns.CloseIdleConnections()
+	c := newTestCall()
+	go func() { <-dialing; c.drained() }()
+	o := c.run(conns, ep.addr(), &record{ID: "m"}, testLimit, nil)
+	if o.what != decide.NotSent {
+		t.Errorf("got %+v", o)
+	}
+	close(release)
+	<-up
+	conns.CloseIdleConnections()
+	if n := ep.count("m"); n != 0 {
+		t.Errorf("the call went out %d times", n)
+	}
+	if c.drained(); c.stage.Load() != callStopped {
+		t.Error("stage changed")
+	}
+}
+
+// Guards reuse: a new connection costs a handshake, so answers are read to
+// their end and more than two connections are kept after a burst.
+func TestConnectionsAreKept(t *testing.T) {
+	var conns atomic.Int32
+	const burst = 6
+	together := make(chan struct{}, burst)
+	addr := rawEndpoint(t, func(c net.Conn) {
+		conns.Add(1)
+		in := bufio.NewReader(c)
+		for readCall(in) {
+			together <- struct{}{}
+			for len(together) < burst { // all of a burst are out at once
+				time.Sleep(time.Millisecond)
+			}
+			io.Copy(c, bytes.NewReader(append([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n"), make([]byte, 9000)...)))
+		}
+	})
+	tr := newConns(&testSet(t).Policy, burst)
+	defer tr.CloseIdleConnections()
+	for round := range 2 {
+		done := make(chan outcome, burst)
+		for range burst {
+			go func() { done <- newTestCall().run(tr, addr, &record{ID: "m"}, testLimit, nil) }()
+		}
+		for range burst {
+			if o := <-done; o.what != decide.Delivered {
+				t.Fatalf("round %d: %+v", round, o)
+			}
+		}
+		for len(together) > 0 {
+			<-together
+		}
+	}
+	if n := conns.Load(); n != burst {
+		t.Errorf("%d connections for two bursts of %d", n, burst)
+	}
+}
+
+func TestReadRetryAfter(t *testing.T) {
+	for s, want := range map[string]decide.Time{"1.5": 1500000, " 2 ": 2000000, "": 0, "soon": 0, "-1": 0, "NaN": 0, "1e99": 600e6} {
+		if got := retryAfter(s); got != want {
+			t.Errorf("%q: %d, want %d", s, got, want)
+		}
+	}
+}
+
+func TestReadLoad(t *testing.T) {
+	fields := []string{"x0", "x1"}
+	for s, want := range map[string]decide.Load{"x0=0.4,x1=25": {Left: 0.4, Limit: 25}, "x1=3": {Limit: 3}, "": {}, "x0=?,x1=-2": {}, "x1=NaN": {}} {
+		if got := readLoad(s, fields); got != want {
+			t.Errorf("%q: %+v", s, got)
+		}
+	}
+	if got := readLoad("x0=1", nil); got != (decide.Load{}) {
+		t.Errorf("a report where none is due: %+v", got)
+	}
+}
+
+func TestProbe(t *testing.T) {
+	for code, want := range map[int]decide.Outcome{200: decide.Delivered, 503: decide.Full, 404: decide.Errored} {
+		ep := newFakeEndpoint(t, status(code))
+		if o := probe(context.Background(), newConns(&testSet(t).Policy, 2), ep.addr()); o.what != want {
+			t.Errorf("%d: %+v", code, o)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/wal_test.go
@@ -0,0 +1,204 @@
+package relay
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+func openTestWAL(t *testing.T, dir string, limit int64) (*wal, []*record) {
+	t.Helper()
+	w, owed, err := openWAL(dir, limit, quietLog())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { w.file.Close() })
+	return w, owed
+}
+
+func mustAppend(t *testing.T, w *wal, recs ...*record) {
+	t.Helper()
+	for _, r := range recs {
+		if err := w.append(r); err != nil {
+			t.Fatalf("%s of %s: %v", r.Kind, r.ID, err)
+		}
+	}
+}
+
+func taken(id string, body string) *record {
+	return &record{Kind: recTaken, ID: id, Class: "keyed", Tenant: "acme", Key: "k", Dest: 7, Deadline: 1e15, body: []byte(body)}
+}
+
+// What is owed comes back with its state, in order, also after a second start,
+// which reads the compacted form.
+func TestWALRecovers(t *testing.T) {
+	dir := t.TempDir()
+	w, _ := openTestWAL(t, dir, 1<<20)
+	mustAppend(t, w, taken("a", "A\n\x00"), taken("b", ""), taken("c", "C"), taken("d", "D"), taken("e", "E"),
+		&record{Kind: recAttempt, ID: "a", At: 100, Zone: 1},
+		&record{Kind: recOutcome, ID: "a", Ran: false},
+		&record{Kind: recAttempt, ID: "b", At: 200, Zone: 1},
+		&record{Kind: recOutcome, ID: "b", Ran: true},
+		&record{Kind: recAttempt, ID: "b", At: 300, Zone: 0},
+		&record{Kind: recAttempt, ID: "c", At: 400, Zone: 1}, // no outcome: it may have run
+		&record{Kind: recEnd, ID: "d"},
+		&record{Kind: recEnding, ID: "e", Notice: endHandedBack, RetryMS: 20})
+	for range 2 {
+		_, owed := openTestWAL(t, dir, 1<<20)
+		var got []string
+		for _, r := range owed {
+			got = append(got, r.ID+" "+string(r.body)+" "+strconv.Itoa(r.Tries)+" "+strconv.FormatInt(r.Doubt, 10)+" "+r.Notice)
+		}
+		want := []string{"a A\n\x00 1 0 ", "b  2 200 ", "c C 1 400 ", "e E 0 0 " + endHandedBack}
+		if !slices.Equal(got, want) {
+			t.Fatalf("got %q", got)
+		}
+		if r := owed[1]; r.Key != "k" || r.Class != "keyed" || r.Tenant != "acme" || r.Dest != 7 || r.Deadline != 1e15 || r.DoubtIn != 1 {
+			t.Errorf("got %+v", r)
+		}
+	}
+}
+
+// Guards against a kill in the middle of a write, and against damage: the rest
+// of the log is recovered, and what is written next can be read.
+func TestWALDamage(t *testing.T) {
+	sizes := []int{}
+	whole := func(dir string) string {
+		w, _ := openTestWAL(t, dir, 1<<20)
+		sizes = sizes[:0]
+		for _, id := range []string{"a", "b", "c"} {
+			mustAppend(t, w, taken(id, "body "+walMark+" of "+id))
+			sizes = append(sizes, int(w.size))
+		}
+		return filepath.Join(dir, walName)
+	}
+	ids := func(owed []*record) (s string) {
+		for _, r := range owed {
+			s += r.ID
+		}
+		return s
+	}
+	for name, x := range map[string]struct {
+		spoil func(b []byte) []byte
+		want  string
+	}{
+		"torn tail":      {func(b []byte) []byte { return b[:len(b)-5] }, "ab"},
+		"torn head":      {func(b []byte) []byte { return b[:sizes[1]+6] }, "ab"},
+		"body damaged":   {func(b []byte) []byte { b[sizes[1]-2] ^= 1; return b }, "ac"},
+		"length damaged": {func(b []byte) []byte { b[sizes[0]+4] ^= 0x7f; return b }, "ac"},
+		"mark damaged":   {func(b []byte) []byte { b[0] ^= 1; return b }, "bc"},
+		"noise before":   {func(b []byte) []byte { return append([]byte("noise"), b...) }, "abc"},
+		"nothing but it": {func([]byte) []byte { return []byte(walMark + "noise") }, ""},
+		"empty":          {func([]byte) []byte { return nil }, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			path := whole(dir)
+			text, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(path, x.spoil(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			w, owed := openTestWAL(t, dir, 1<<20)
+			if got := ids(owed); got != x.want {
+				t.Fatalf("recovered %q, want %q", got, x.want)
+			}
+			mustAppend(t, w, taken("z", "Z"))
+			if _, owed = openTestWAL(t, dir, 1<<20); ids(owed) != x.want+"z" {
+				t.Errorf("then %q", ids(owed))
+			}
+		})
+	}
+}
+
+// Guards the disk: old and new log together stay under the limit at every
+// moment, and what was taken on can be ended even when nothing more fits.
+func TestWALBounded(t *testing.T) {
+	const limit = 1 << 20
+	dir := t.TempDir()
+	w, _ := openTestWAL(t, dir, limit)
+	body := strings.Repeat("b", bodyMost)
+	n := 0
+	for ; ; n++ {
+		if err := w.append(taken(strconv.Itoa(n), body)); err != nil {
+			if !errors.Is(err, errDiskFull) {
+				t.Fatal(err)
+			}
+			break
+		}
+	}
+	if n == 0 {
+		t.Fatal("nothing fits")
+	}
+	for round := range 3000 { // far more than fits without compaction
+		id := strconv.Itoa(round % n)
+		mustAppend(t, w, &record{Kind: recAttempt, ID: id, At: int64(round) + 1}, &record{Kind: recOutcome, ID: id, Ran: true})
+		if w.size+w.owed > limit {
+			t.Fatalf("round %d: log %d, compaction would add %d", round, w.size, w.owed)
+		}
+	}
+	if info, err := os.Stat(w.path); err != nil || info.Size() != w.size {
+		t.Fatalf("size on disk %v, held to be %d, %v", info, w.size, err)
+	}
+	for i := range n {
+		mustAppend(t, w, &record{Kind: recEnd, ID: strconv.Itoa(i)})
+	}
+	if w.owed != 0 {
+		t.Errorf("%d bytes owed by nobody", w.owed)
+	}
+	mustAppend(t, w, taken("next", body))
+}
+
+// A record may grow by its state in a compaction; the room for that is booked
+// when the message is taken on.
+func TestRecordRoom(t *testing.T) {
+	r := taken("9b1f03aa5c7e2d41", "body")
+	r.Tries, r.Doubt, r.DoubtIn, r.Out, r.OutIn, r.Notice, r.RetryMS = 255, 1764384000000000, 9, 1764384000000000, 9, endHandedBack, 2000
+	text, err := r.encode(nil)
+	if err != nil || int64(len(text)) > recordRoom(r) {
+		t.Errorf("%d bytes, booked %d, %v", len(text), recordRoom(r), err)
+	}
+}
+
+// Guards against a disk that fails: the record is refused, nobody crashes, and
+// what is held stays readable.
+func TestWALWriteFails(t *testing.T) {
+	dir := t.TempDir()
+	w, _ := openTestWAL(t, dir, 1<<20)
+	mustAppend(t, w, taken("a", "A"))
+	w.file.Close()
+	if w.append(taken("b", "B")) == nil {
+		t.Fatal("written to a closed file")
+	}
+	if w.live["b"] != nil {
+		t.Error("held to be owed")
+	}
+	if err := w.append(&record{Kind: recAttempt, ID: "b"}); !errors.Is(err, errNotOwed) {
+		t.Errorf("an attempt of what was refused: %v", err)
+	}
+	if _, owed := openTestWAL(t, dir, 1<<20); len(owed) != 1 {
+		t.Errorf("%d owed", len(owed))
+	}
+}
+
+func FuzzReplay(f *testing.F) {
+	good, err := taken("a", "A").encode(nil)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add([]byte(walMark + "\x00\x00\x00\x02"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		w := &wal{live: map[string]*liveRecord{}, log: quietLog()}
+		w.replay(append(b, good...))
+		if w.live["a"] == nil && !strings.Contains(string(b), walMark) {
+			t.Fatal("the sound record is lost")
+		}
+	})
+}
