--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -24,6 +24,7 @@
 	skipMost   = 1 << 20 // a body this long is still read past, so that the connection can go on
 	lineMost   = 32
 	writeWait  = 2 * time.Second
+	wholeWait  = 5 * time.Second // from a command's first byte to its last
 	lingerWait = 200 * time.Millisecond
 )
 
@@ -212,6 +213,9 @@
 	put  func(*request)            // hands it to the loop, which answers
 	said func(q *request, ok bool) // the answer was written, or its client is gone
 	most int
+	// One that begins a command and does not end it must not hold its place
+	// for ever: it is not idle, and so never makes room for others.
+	patience time.Duration
 
 	mu      sync.Mutex
 	conns   map[*clientConn]bool
@@ -231,7 +235,7 @@
 
 func newClients(cfg *Config, log *slog.Logger, put func(*request), said func(*request, bool)) *clients {
 	most, _ := cfg.budget()
-	return &clients{cfg: cfg, log: log, put: put, said: said, most: most, conns: map[*clientConn]bool{}}
+	return &clients{cfg: cfg, log: log, put: put, said: said, most: most, patience: wholeWait, conns: map[*clientConn]bool{}}
 }
 
 // serve accepts until the listener is closed.
@@ -299,7 +303,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc.busy++
-	cc.SetReadDeadline(time.Time{})
+	cc.SetReadDeadline(time.Now().Add(c.patience))
 }
 
 // finish marks a request answered; it reports whether the connection is to be
@@ -333,6 +337,7 @@
 			}
 			c.begin(cc)
 			args, err := readCommand(in)
+			cc.SetReadDeadline(time.Time{})
 			if err != nil && (errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, new(net.Error))) {
 				return // nobody is there to be told
 			}
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -178,6 +178,31 @@
 	}
 }
 
+// Guards the places of clients against those that begin a command and never
+// end it. One that waits between commands, or for its answer, is left alone.
+func TestHalfACommand(t *testing.T) {
+	got := make(chan *request, 1)
+	c := newClients(testSet(t), quietLog(), func(q *request) { got <- q }, func(*request, bool) {})
+	c.patience = 30 * time.Millisecond
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go c.serve(ln)
+	waits, half := dialClient(t, ln.Addr().String()), dialClient(t, ln.Addr().String())
+	io.WriteString(waits, putText("m", fields("plain", 8000, 1), nil))
+	q := <-got
+	io.WriteString(half, "*5\r\n$7\r\nMSG")
+	if _, err := half.in.ReadByte(); err == nil {
+		t.Error("half a command is answered")
+	}
+	q.answer(replyOK) // later than the patience with the other
+	if s := waits.line(); s != "+OK" {
+		t.Errorf("answer %q", s)
+	}
+}
+
 func FuzzReadCommand(f *testing.F) {
 	f.Add([]byte(putText("m", "c=plain", []byte("b"))))
 	f.Add([]byte("*1\r\n$4\r\nPING\r\n"))
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -189,7 +189,7 @@
 	c := newTestCall()
 	go func() { <-dialing; c.drained() }()
 	o := c.run(conns, ep.addr(), &record{ID: "m"}, testLimit, nil)
-	if o.what != decide.NotSent {
+	if o.what != decide.NotSent || o.took > testLimit.Microseconds()/2 {
 		t.Errorf("got %+v", o)
 	}
 	close(release)
@@ -198,8 +198,42 @@
 	if n := ep.count("m"); n != 0 {
 		t.Errorf("the call went out %d times", n)
 	}
-	if c.drained(); c.stage.Load() != callStopped {
-		t.Error("stage changed")
+	// The word may also come just as the connection does.
+	late := newTestCall()
+	late.stage.Store(callStopped)
+	tr := newConns(&testSet(t).Policy, 2)
+	defer tr.CloseIdleConnections()
+	if o := late.run(tr, ep.addr(), &record{ID: "late"}, testLimit, nil); o.what != decide.NotSent || ep.count("late") != 0 {
+		t.Errorf("got %+v, and %d calls", o, ep.count("late"))
+	}
+	// What is under way already is not stopped.
+	under := newTestCall()
+	under.stage.Store(callSending)
+	if under.drained(); under.ctx.Err() != nil {
+		t.Error("a call with bytes under way was stopped")
+	}
+}
+
+// Guards against connections that died in silence: after a machine was away,
+// what is idle to it is given up; one slow call among others is no reason.
+func TestSuspect(t *testing.T) {
+	ep := &endpoint{}
+	for i, x := range []struct {
+		o    outcome
+		now  decide.Time
+		want bool
+	}{
+		{outcome{what: decide.Delivered, status: 200, took: 10}, 1000, false},
+		{outcome{what: decide.TimedOut, took: 500}, 1100, false}, // it was sent at 600, and 1000 was answered
+		{outcome{what: decide.TimedOut, took: 500}, 2000, true},
+		{outcome{what: decide.Reset}, 2100, true},
+		{outcome{what: decide.NoConnect}, 2200, true},
+		{outcome{what: decide.Full, status: 503}, 2300, false},
+		{outcome{what: decide.Cancelled, took: 50}, 2320, false},
+	} {
+		if got := ep.suspect(&x.o, x.now); got != x.want {
+			t.Errorf("%d: %v", i, got)
+		}
 	}
 }
 
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -191,3 +191,121 @@
 	}
 	_ = c
 }
+
+// Guards against the list as it was: an endpoint may move to another address
+// under its id, or to another destination, and a drained one gets nothing new.
+func TestListChanges(t *testing.T) {
+	before, after := newFakeEndpoint(t, nil), newFakeEndpoint(t, nil)
+	m := before.member("s-1", 1)
+	disc := newFakeDiscovery(t, m)
+	env := testConfig(t, disc, 3)
+	startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	put := func(id string, dest int) {
+		t.Helper()
+		if s := cl.put(id, fields("once", 20000, dest), nil); s != "+OK" {
+			t.Fatalf("%s: %s", id, s)
+		}
+	}
+	put("old", 1)
+	waitFor(t, "old", func() bool { return before.count("old") == 1 })
+	m.HostPort = after.addr()
+	disc.say(t, change(2, m))
+	// The change and the message come by different ways: what is sent before
+	// the change may still go to the old place, so wait for the new one.
+	waitFor(t, "the new address", func() bool {
+		put(fmt.Sprintf("n%d", seq.Add(1)), 1)
+		after.mu.Lock()
+		defer after.mu.Unlock()
+		return len(after.calls) > 0
+	})
+	moved := after.member("s-1", 2)
+	disc.say(t, change(3, moved))
+	put("two", 2)
+	waitFor(t, "the new destination", func() bool { return after.count("two") == 1 })
+	put("one", 1) // nobody serves it any more
+	moved.Phase = phaseDraining
+	disc.say(t, change(4, moved))
+	fresh := before.member("s-2", 2)
+	disc.say(t, change(5, fresh))
+	put("marker", 2)
+	waitFor(t, "the marker", func() bool { return before.count("marker")+after.count("marker") == 1 })
+	waitFor(t, "the drain", func() bool {
+		id := fmt.Sprintf("d%d", seq.Add(1))
+		put(id, 2)
+		waitFor(t, id, func() bool { return before.count(id)+after.count(id) == 1 })
+		return before.count(id) == 1
+	})
+	for range 5 {
+		id := fmt.Sprintf("e%d", seq.Add(1))
+		put(id, 2)
+		waitFor(t, id, func() bool { return before.count(id)+after.count(id) == 1 })
+		if after.count(id) != 0 {
+			t.Error("a drained endpoint got a message")
+		}
+	}
+	if n := before.count("one") + after.count("one"); n != 0 {
+		t.Errorf("a message went to an endpoint of another destination %d times", n)
+	}
+}
+
+var seq atomic.Int32 // makes ids new
+
+// What the policy turns away in the step that takes it is answered directly:
+// nothing is logged, and there is no notice.
+func TestTurnedAwayAtOnce(t *testing.T) {
+	disc := newFakeDiscovery(t)
+	env := testConfig(t, disc, 3)
+	startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	if s := cl.put("late", fields("plain", 0, 9), nil); !strings.HasPrefix(s, "-BUSY") {
+		t.Fatalf("out of time: %s", s)
+	}
+	refused := 0
+	for i := range 150 { // more than may be held
+		if s := cl.put(fmt.Sprintf("m%d", i), fields("once", 20000, 9), nil); strings.HasPrefix(s, "-BUSY") {
+			refused++
+		}
+	}
+	// What makes room among those that were taken on ends by a notice.
+	waitFor(t, "the ends of what is too much", func() bool {
+		disc.mu.Lock()
+		defer disc.mu.Unlock()
+		return refused+len(disc.notices) >= 50
+	})
+	text, err := os.ReadFile(filepath.Join(env["ROUTER_STATE"], walName))
+	if err != nil || strings.Contains(string(text), `"id":"late"`) {
+		t.Errorf("logged: %v", err)
+	}
+	if _, ok := disc.notice("late"); ok {
+		t.Error("a notice for what was never taken on")
+	}
+}
+
+// Guards against handing in twice: an id that is held is not taken on again.
+func TestSameIDAgain(t *testing.T) {
+	release := make(chan struct{})
+	ep := newFakeEndpoint(t, func(_ http.ResponseWriter, r *http.Request, _ int) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	env := testConfig(t, newFakeDiscovery(t, ep.member("s-1", 1)), 3)
+	startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	for range 2 {
+		if s := cl.put("m", fields("once", 20000, 1), nil); s != "+OK" {
+			t.Fatal(s)
+		}
+		waitFor(t, "the call", func() bool { return ep.count("m") == 1 })
+	}
+	close(release)
+	if s := cl.put("other", fields("once", 20000, 1), nil); s != "+OK" {
+		t.Fatal(s)
+	}
+	waitFor(t, "the next", func() bool { return ep.count("other") == 1 })
+	if n := ep.count("m"); n != 1 {
+		t.Errorf("went out %d times", n)
+	}
+}
--- a/internal/relay/wal.go
+++ b/internal/relay/wal.go
@@ -337,8 +337,8 @@
 	owed, free := w.owed, w.limit-walSlack
 	if r.Kind == recTaken {
 		owed += recordRoom(r)
-		free -= walSpare // later records on what is held must still fit
-		if 2*owed > free {
+		free -= walSpare   // later records on what is held must still fit
+		if 2*owed > free { // compaction would not help, so it is not tried for each
 			return errDiskFull
 		}
 	}
