Send a notice again in time when the agent's connection is silent

Cause, from reading: a notice had 2 s for its answer, so one on a connection that had gone silent was late before its second try; a message is lost 300 ms after its time. The first try now has 200 ms, more with each failure in a row. The listener stays for 1 s after SIGTERM, so that a connection which comes late is told -BUSY rather than refused.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -239,9 +239,10 @@
 
 const (
 	noticeBatch = 64
-	noticeWait  = 2 * time.Second
-	noticePause = 50 * time.Millisecond // grows with each failure in a row
+	noticeWait  = 200 * time.Millisecond // doubles with each failure in a row: a second try is still in time
+	noticePause = 50 * time.Millisecond  // grows with each failure in a row
 	noticeMost  = 500 * time.Millisecond
+	noticeLong  = 2 * time.Second
 )
 
 // notices sends notices until each has been taken. Repeats are harmless.
@@ -262,7 +263,7 @@
 func (n *notices) run(ctx context.Context) {
 	defer n.client.CloseIdleConnections()
 	var fresh, left []notice
-	for pause := noticePause; ctx.Err() == nil; {
+	for pause, wait := noticePause, noticeWait; ctx.Err() == nil; {
 		fresh = n.in.takeAll(fresh)
 		left = append(left, fresh...)
 		if len(left) == 0 {
@@ -273,11 +274,11 @@
 			continue
 		}
 		batch := left[:min(len(left), noticeBatch)]
-		status, err := n.post(ctx, batch)
+		status, err := n.post(ctx, batch, wait)
 		if status == http.StatusBadRequest && len(batch) > 1 {
 			// One of them cannot be read; it must not hold up the others.
 			for _, x := range batch {
-				if status, err = n.post(ctx, []notice{x}); err != nil && status != http.StatusBadRequest {
+				if status, err = n.post(ctx, []notice{x}, wait); err != nil && status != http.StatusBadRequest {
 					break
 				}
 				n.settle(x, err)
@@ -290,12 +291,12 @@
 			left = left[len(batch):]
 		}
 		if err == nil || status == http.StatusBadRequest {
-			pause = noticePause
+			pause, wait = noticePause, noticeWait
 			continue
 		}
 		n.log.Warn("notices: not taken", "count", len(left), "err", err)
 		sleep(ctx, pause)
-		pause = min(2*pause, noticeMost)
+		pause, wait = min(2*pause, noticeMost), min(2*wait, noticeLong)
 	}
 }
 
@@ -306,8 +307,8 @@
 	n.taken(x.Message)
 }
 
-func (n *notices) post(ctx context.Context, batch []notice) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, noticeWait)
+func (n *notices) post(ctx context.Context, batch []notice, wait time.Duration) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	var body bytes.Buffer
 	enc := json.NewEncoder(&body) // one object a line
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -1,9 +1,13 @@
 package relay
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"io"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -123,3 +127,35 @@
 		t.Errorf("%s in place of c", id)
 	}
 }
+
+// Guards the time of a notice: where the connection that was kept to the agent
+// has gone silent, a second try comes soon enough for the notice to be in time.
+func TestNoticeOnSilentConnection(t *testing.T) {
+	var tries atomic.Int32
+	addr := rawEndpoint(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		for readCall(in) {
+			if tries.Add(1) != 2 {
+				io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+			}
+		}
+	})
+	taken := make(chan string, 4)
+	n := newNotices(addr, quietLog(), func(id string) { taken <- id })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); n.run(ctx) }()
+	defer func() { cancel(); <-done }()
+	for _, id := range []string{"a", "b"} {
+		n.in.put(notice{id, endGivenUp, 0})
+		if got := <-taken; got != id {
+			t.Fatalf("%s in place of %s", got, id)
+		}
+	}
+	if got := tries.Load(); got != 3 {
+		t.Errorf("%d tries, want 3", got)
+	}
+	if noticeWait+noticePause >= 300*time.Millisecond {
+		t.Error("a second try would be late")
+	}
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -16,7 +16,7 @@
 
 // Figures of a planned end. A relay has 3.7 s from SIGTERM until it is killed.
 const (
-	stopListen = 600 * time.Millisecond  // new connections still come for a while
+	stopListen = 1000 * time.Millisecond // new connections still come for a while
 	stopUnsafe = 1200 * time.Millisecond // no unsafe call begins after this: cut short, it would be lost
 	stopSends  = 2200 * time.Millisecond // no call at all
 	stopCalls  = 3300 * time.Millisecond // what is out by then stays open in the log
