Let go of a call whose attempt could not be logged

Its context stayed registered with the relay's until the process ended: a small leak on a disk that fails.

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -610,6 +610,7 @@
 	conns, addr, rec := ep.conns, ep.hostPort, m.rec
 	r.wal.submit(&record{Kind: recAttempt, ID: rec.ID, At: r.wall(r.now()), Zone: ep.zone}, func(err error) {
 		if err != nil {
+			stop(err)
 			r.in.put(happening{unsent: c})
 			return
 		}
