Keep each timer that the policy asked for until it has come

Ruled out by the log: the notice path (no 'ended' line was written) and the policy (it had asked for the moment). At fault: loop.go kept one moment. A step that ran just past the earlier moment, before the loop had looked at it, asked for a later one; act() kept the earlier, the loop then fired it and forgot the later, which the policy, holding it to be armed, did not ask for again. Only other traffic ended the wait.

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -73,7 +73,7 @@
 	byNum     map[decide.Endpoint]*endpoint
 	events    []decide.Event
 	actions   []decide.Action
-	timerAt   decide.Time // 0 for none
+	timers    timers
 	held      int
 	calls     int
 	stopAt    time.Time
@@ -214,8 +214,8 @@
 	var got []happening
 	for {
 		wait := time.Hour
-		if r.timerAt > 0 {
-			wait = time.Duration(r.timerAt-r.now()+1) * time.Microsecond
+		if at := r.timers.next(); at > 0 {
+			wait = time.Duration(at-r.now()+1) * time.Microsecond
 		}
 		if !r.stopAt.IsZero() {
 			wait = min(wait, 20*time.Millisecond)
@@ -234,8 +234,7 @@
 			}
 			r.take(got[i])
 		}
-		if r.timerAt > 0 && r.timerAt <= r.now() {
-			r.timerAt = 0
+		if r.timers.due(r.now()) {
 			r.events = append(r.events, decide.Event{Kind: decide.EvTimer})
 		}
 		if len(r.events) > 0 {
@@ -568,9 +567,7 @@
 			}
 		}
 	case decide.ActTimer:
-		if at := now + a.After; r.timerAt == 0 || at < r.timerAt {
-			r.timerAt = at
-		}
+		r.timers.add(now + a.After)
 	case decide.ActProbe:
 		if ep := r.byNum[a.Endpoint]; ep != nil && !ep.gone {
 			conns, addr := ep.conns, ep.hostPort
--- /dev/null
+++ b/internal/relay/timers_test.go
@@ -0,0 +1,27 @@
+package relay
+
+import (
+	"testing"
+
+	"troutusher/decide"
+)
+
+// Guards the later of two moments: the policy asked for it in a step that ran
+// just past the earlier one, and does not ask again. A message whose end hung
+// on it never got one where nothing else happened.
+func TestTimersKeepTheLater(t *testing.T) {
+	r := &Relay{}
+	r.act(100, &decide.Action{Kind: decide.ActTimer, After: 50})
+	// A step at 160 asks for 300 before the loop has looked at 150.
+	r.act(160, &decide.Action{Kind: decide.ActTimer, After: 140})
+	if !r.timers.due(161) {
+		t.Fatal("the earlier one did not come")
+	}
+	if r.timers.next() != 300 || r.timers.due(299) {
+		t.Fatalf("the later one is forgotten: next %d", r.timers.next())
+	}
+	r.timers.add(300) // asked for twice, it comes once
+	if !r.timers.due(300) || r.timers.due(400) || r.timers.next() != 0 {
+		t.Errorf("left: %v", r.timers)
+	}
+}
