Read the configuration again on SIGHUP and move discovery at once

Now SIGHUP is caught from the first line of main. The file is read again; its discovery comes before ROUTER_DISCOVERY. Watch and notices leave the old address (what is under way there is cut off, so no news of it can follow), fetch the whole list at the new one and send there what was not confirmed. A file that cannot be read or is wrong is logged and changes nothing.

--- a/cmd/troutusher/main.go
+++ b/cmd/troutusher/main.go
@@ -23,6 +23,9 @@
 )
 
 func main() {
+	// Caught from the start on: SIGHUP would end the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	cfg, err := relay.LoadConfig(os.Getenv)
 	if err != nil {
@@ -33,7 +36,8 @@
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 / 10 * 7) // the rest is for files and stacks
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	if err := relay.Run(cfg, log, ctx.Done()); err != nil {
+	re := relay.Reload{Asked: hup, Read: func() (*relay.Config, error) { return relay.ReloadConfig(os.Getenv) }}
+	if err := relay.Run(cfg, log, ctx.Done(), re); err != nil {
 		log.Error("ended", "err", err)
 		os.Exit(exitFailed)
 	}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -42,6 +42,16 @@
 // LoadConfig reads the file that ROUTER_CONFIG names. What the environment
 // says of name, addresses and state folder comes before the file.
 func LoadConfig(getenv func(string) string) (*Config, error) {
+	return readConfig(getenv, false)
+}
+
+// ReloadConfig reads the same file for a running relay. There its discovery
+// comes before the environment, which still says what held at the start.
+func ReloadConfig(getenv func(string) string) (*Config, error) {
+	return readConfig(getenv, true)
+}
+
+func readConfig(getenv func(string) string, again bool) (*Config, error) {
 	path := getenv("ROUTER_CONFIG")
 	if path == "" {
 		return nil, errors.New("ROUTER_CONFIG: not set")
@@ -50,10 +60,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
-	return parseConfig(text, getenv)
+	return parseConfig(text, getenv, again)
 }
 
-func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
+func parseConfig(text []byte, getenv func(string) string, again bool) (*Config, error) {
 	var f struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
@@ -77,7 +87,7 @@
 		to       *string
 	}{{"ROUTER_NAME", "name", &c.Name}, {"ROUTER_LISTEN", "listen", &c.Listen},
 		{"ROUTER_DISCOVERY", "discovery", &c.Discovery}, {"ROUTER_STATE", "state", &c.State}} {
-		if s := getenv(v.env); s != "" {
+		if s := getenv(v.env); s != "" && (*v.to == "" || !again || v.key != "discovery") {
 			*v.to = s
 		}
 		if *v.to == "" {
--- a/internal/relay/config_test.go
+++ b/internal/relay/config_test.go
@@ -33,13 +33,13 @@
 			if text == good {
 				t.Fatal("nothing was changed")
 			}
-			_, err := parseConfig([]byte(text), func(string) string { return "" })
+			_, err := parseConfig([]byte(text), func(string) string { return "" }, false)
 			if err == nil || !strings.Contains(err.Error(), x.key) {
 				t.Errorf("error %v, want one that names %s", err, x.key)
 			}
 		})
 	}
-	c, err := parseConfig([]byte(good), func(k string) string { return map[string]string{"ROUTER_STATE": "/y"}[k] })
+	c, err := parseConfig([]byte(good), func(k string) string { return map[string]string{"ROUTER_STATE": "/y"}[k] }, false)
 	if err != nil || c.State != "/y" || c.Seed != 0x1f || c.Policy.Slots != 16 || c.Policy.Streams != 1 || c.zones["b"] != 1 || c.classes["once"] != 2 {
 		t.Errorf("got %+v, %v", c, err)
 	}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -105,7 +105,9 @@
 
 // discovery keeps a watch on the list and hands on its news.
 type discovery struct {
-	base    string
+	addr    string
+	base    string           // of the address that is watched now
+	moves   *mailbox[string] // further addresses, each in the place of the one before
 	log     *slog.Logger
 	client  *http.Client
 	silence time.Duration
@@ -113,12 +115,18 @@
 }
 
 func newDiscovery(addr string, log *slog.Logger, news func(*List)) *discovery {
-	return &discovery{base: "http://" + addr, log: log, client: newPlainClient(4), silence: discSilence, news: news}
+	return &discovery{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(4),
+		silence: discSilence, news: news}
 }
 
-// run watches until ctx ends. What is heard is passed on with no delay: the
-// grace after word of a drain counts from when discovery wrote it.
-func (d *discovery) run(ctx context.Context) {
+// run watches one address after another until ctx ends.
+func (d *discovery) run(ctx context.Context) { atEach(ctx, d.addr, d.moves, d.at) }
+
+// at watches one address. Versions are that address's own, so it begins with
+// the whole list. What is heard is passed on with no delay: the grace after
+// word of a drain counts from when discovery wrote it.
+func (d *discovery) at(ctx context.Context, addr string) {
+	d.base = "http://" + addr
 	defer d.client.CloseIdleConnections()
 	rev, whole := int64(0), false
 	for ctx.Err() == nil {
@@ -247,33 +255,40 @@
 
 // notices sends notices until each has been taken. Repeats are harmless.
 type notices struct {
-	url    string
+	addr   string
+	url    string           // at the address that is used now
+	moves  *mailbox[string] // further addresses, each in the place of the one before
 	log    *slog.Logger
 	client *http.Client
 	in     *mailbox[notice]
+	left   []notice // not confirmed yet
 	taken  func(id string)
 }
 
 func newNotices(addr string, log *slog.Logger, taken func(string)) *notices {
-	return &notices{url: "http://" + addr + noticePath, log: log, client: newPlainClient(2),
+	return &notices{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(2),
 		in: newMailbox[notice](), taken: taken}
 }
 
-// run sends until ctx ends.
-func (n *notices) run(ctx context.Context) {
+// run sends to one address after another until ctx ends.
+func (n *notices) run(ctx context.Context) { atEach(ctx, n.addr, n.moves, n.at) }
+
+// at sends to one address; what is not confirmed there stays for the next.
+func (n *notices) at(ctx context.Context, addr string) {
+	n.url = "http://" + addr + noticePath
 	defer n.client.CloseIdleConnections()
-	var fresh, left []notice
+	var fresh []notice
 	for pause, wait := noticePause, noticeWait; ctx.Err() == nil; {
 		fresh = n.in.takeAll(fresh)
-		left = append(left, fresh...)
-		if len(left) == 0 {
+		n.left = append(n.left, fresh...)
+		if len(n.left) == 0 {
 			select {
 			case <-ctx.Done():
 			case <-n.in.ready:
 			}
 			continue
 		}
-		batch := left[:min(len(left), noticeBatch)]
+		batch := n.left[:min(len(n.left), noticeBatch)]
 		status, err := n.post(ctx, batch, wait)
 		if status == http.StatusBadRequest && len(batch) > 1 {
 			// One of them cannot be read; it must not hold up the others.
@@ -282,19 +297,19 @@
 					break
 				}
 				n.settle(x, err)
-				left = left[1:]
+				n.left = n.left[1:]
 			}
 		} else if err == nil || status == http.StatusBadRequest {
 			for _, x := range batch {
 				n.settle(x, err)
 			}
-			left = left[len(batch):]
+			n.left = n.left[len(batch):]
 		}
 		if err == nil || status == http.StatusBadRequest {
 			pause, wait = noticePause, noticeWait
 			continue
 		}
-		n.log.Warn("notices: not taken", "count", len(left), "err", err)
+		n.log.Warn("notices: not taken", "count", len(n.left), "err", err)
 		sleep(ctx, pause)
 		pause, wait = min(2*pause, noticeMost), min(2*wait, noticeLong)
 	}
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -17,7 +17,7 @@
 func testSet(t *testing.T) *Config {
 	t.Helper()
 	c, err := parseConfig([]byte(`{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","state":"x","seed":"1","settings":`+
-		testSettings+`}`), func(string) string { return "" })
+		testSettings+`}`), func(string) string { return "" }, false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -35,7 +35,10 @@
 		os.Exit(2)
 	}
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM)
-	if err := Run(cfg, log, ctx.Done()); err != nil {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	re := Reload{Asked: hup, Read: func() (*Config, error) { return ReloadConfig(os.Getenv) }}
+	if err := Run(cfg, log, ctx.Done(), re); err != nil {
 		log.Error("child", "err", err)
 		os.Exit(1)
 	}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -47,8 +47,9 @@
 	said   *request // with ok
 	lost   *request // the log could not take it
 	news   *List
-	call   *call // with result
-	unsent *call // its attempt could not be logged
+	config *Config // a new one
+	call   *call   // with result
+	unsent *call   // its attempt could not be logged
 	probed decide.Endpoint
 	result *outcome
 	ok     bool
@@ -63,6 +64,8 @@
 	in        *mailbox[happening]
 	wal       *wal
 	notices   *notices
+	discovery *discovery
+	agent     string // the address that both of them use
 	began     time.Time
 	lastNum   uint32
 	lastEnd   decide.Endpoint
@@ -92,7 +95,7 @@
 
 // Run serves until stop is closed and the end is made, or something fails that
 // a relay cannot go on without.
-func Run(cfg *Config, log *slog.Logger, stop <-chan struct{}) error {
+func Run(cfg *Config, log *slog.Logger, stop <-chan struct{}, re Reload) error {
 	policy, err := decide.New(cfg.Policy, cfg.Seed)
 	if err != nil {
 		return fmt.Errorf("config: settings: %w", err)
@@ -116,7 +119,10 @@
 		wal.submit(&record{Kind: recEnd, ID: id}, nil)
 	})
 	go r.notices.run(ctx)
-	go newDiscovery(cfg.Discovery, log, func(l *List) { r.in.put(happening{news: l}) }).run(ctx)
+	r.discovery = newDiscovery(cfg.Discovery, log, func(l *List) { r.in.put(happening{news: l}) })
+	go r.discovery.run(ctx)
+	r.agent = cfg.Discovery
+	go r.follow(ctx, re)
 
 	r.firstList()
 	r.restore(owed)
@@ -148,16 +154,19 @@
 		r.list(r.cfg.Known, decide.ListCached)
 	}
 	var got []happening
-	for {
+	for heard := false; ; {
 		select {
 		case <-r.in.ready:
 			got = r.in.takeAll(got)
 			for _, h := range got {
-				if h.news != nil {
+				if h.news != nil || h.config != nil {
 					r.take(h)
 				}
+				heard = heard || h.news != nil
+			}
+			if heard {
+				return
 			}
-			return
 		case <-limit.C:
 			r.log.Warn("discovery is silent: the list in the configuration is used")
 			return
@@ -285,6 +294,8 @@
 			kind = decide.ListFull
 		}
 		r.list(h.news, kind)
+	case h.config != nil:
+		r.reconfigure(h.config)
 	case h.unsent != nil:
 		r.finished(h.unsent, &outcome{what: decide.NotSent, err: errors.New("attempt not logged")}, false)
 	case h.call != nil:
--- /dev/null
+++ b/internal/relay/reload.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"context"
+	"os"
+	"reflect"
+)
+
+// A configuration is read again on SIGHUP. What a running relay takes over from
+// it is the address of discovery; everything else binds until the next start.
+
+// Reload tells a running relay of new configurations.
+type Reload struct {
+	Asked <-chan os.Signal        // one value for each time that it is to be read
+	Read  func() (*Config, error) // reads it
+}
+
+// follow reads the configuration whenever that is asked for. One that cannot
+// be read or is wrong changes nothing.
+func (r *Relay) follow(ctx context.Context, re Reload) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-re.Asked:
+		}
+		cfg, err := re.Read()
+		if err != nil {
+			r.log.Error("new configuration not taken over, the old one stays", "err", err)
+			continue
+		}
+		r.in.put(happening{config: cfg})
+	}
+}
+
+// reconfigure takes over what a running relay can: watch and notices move to
+// the new address, and what was not confirmed at the old one goes out there.
+func (r *Relay) reconfigure(cfg *Config) {
+	if !reflect.DeepEqual(cfg.Policy, r.cfg.Policy) || cfg.Limits != r.cfg.Limits || cfg.Listen != r.cfg.Listen {
+		r.log.Warn("new configuration: settings, limits and listen wait for the next start")
+	}
+	if cfg.Discovery == r.agent {
+		r.log.Info("new configuration: discovery stays", "discovery", r.agent)
+		return
+	}
+	r.log.Info("new configuration: discovery moves", "from", r.agent, "to", cfg.Discovery)
+	r.agent = cfg.Discovery
+	r.discovery.moves.put(r.agent)
+	r.notices.moves.put(r.agent)
+}
+
+// atEach runs work for one address after another, each until the next is
+// named. work must return when its context ends: nothing of an old address
+// overlaps with the new one.
+func atEach(ctx context.Context, addr string, moves *mailbox[string], work func(ctx context.Context, addr string)) {
+	for ctx.Err() == nil {
+		here, leave := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			work(here, addr)
+		}()
+		select {
+		case <-ctx.Done():
+		case <-moves.ready:
+		}
+		leave()
+		<-done
+		if named := moves.takeAll(nil); len(named) > 0 {
+			addr = named[len(named)-1]
+		}
+	}
+}
