Calls to endpoints on connections of our own

Seen from reading and confirmed by the new tests against the old code's behaviour: net/http puts a connection back before it can see what follows an answer, so a second copy passes for the next call's answer; a refusal was believed before its body had been read; idle connections had a cap for each endpoint and none in all; a 200 waited for its body. Now pool.go keeps connections for all endpoints within one number. A connection with anything to read is not used again: that is checked when it is put back, when it is taken, and before the last byte of a call goes out, so what races the check is seen while nothing of the call counts yet. A first line with 200 is told at once; anything else only once all of it has been read within 300 ms and 192 KB; what does not make sense may have run. Several 1xx are passed over. Retry-After and load reports that cannot be are not used.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -2,15 +2,16 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"troutusher/decide"
@@ -19,10 +20,13 @@
 const (
 	callPath    = "/v1/messages"
 	probePath   = "/health/live"
-	answerMost  = 1 << 20         // bytes of an answer that are read
-	probeWait   = 2 * time.Second // a probe that takes longer has failed
-	idleMargin  = 10              // one part in so many of the keep-alive is left unused
+	answerMost  = 192 << 10              // bytes of an answer that are read, with what comes ahead of it
+	answerWait  = 300 * time.Millisecond // from an answer's first byte to its last: it is written at once
+	hintsMost   = 8                      // 1xx answers ahead of the last
+	probeWait   = 2 * time.Second        // a probe that takes longer has failed
+	idleMargin  = 10                     // one part in so many of the keep-alive is left unused
 	longestWait = 10 * time.Minute
+	loadMost    = 1e6 // no figure of a load report is higher
 )
 
 // endpoint is one address of a destination, with its kept-alive connections.
@@ -36,7 +40,7 @@
 	gone     bool // drained or removed: nothing new goes there
 	goneAt   decide.Time
 	answerAt decide.Time // when it last answered at all
-	conns    *http.Transport
+	home     *home
 	calls    map[*call]bool
 }
 
@@ -50,34 +54,16 @@
 	case decide.TimedOut, decide.Cancelled:
 		return ep.answerAt < now-o.took // others that were sent later were answered: one slow call
 	}
-	if o.status != 0 {
+	if o.status != 0 || o.spoilt {
 		ep.answerAt = now
 	}
 	return false
 }
 
-// newConns makes the connections of one endpoint. Each endpoint has its own,
-// so that its idle ones can be given back alone.
-func newConns(set *decide.Settings, idle int) *http.Transport {
-	keep := time.Duration(set.KeepAlive) * time.Microsecond
-	connect := time.Duration(set.ConnectTimeout) * time.Microsecond
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connect, KeepAlive: -1}).DialContext,
-		MaxIdleConnsPerHost: idle, // the default of two would close the rest after each burst
-		// A request written to a connection that the endpoint is closing ends
-		// as a reset: ours close first.
-		IdleConnTimeout:        keep - keep/idleMargin,
-		MaxResponseHeaderBytes: 64 << 10,
-		DisableCompression:     true,
-		Protocols:              http1(),
-	}
-}
-
 // Stages of a call.
 const (
 	callWaiting int32 = iota // for a connection: stopped now, it has never run
 	callSending              // bytes may be under way
-	callWritten              // the last byte is written
 	callStopped              // stopped before its first byte
 )
 
@@ -92,7 +78,7 @@
 	ep      *endpoint
 	attempt int
 	stage   atomic.Int32
-	broken  atomic.Bool // the connection broke before the last byte was written
+	leaving atomic.Bool // its endpoint drains
 	ctx     context.Context
 	stop    context.CancelCauseFunc
 }
@@ -106,31 +92,27 @@
 	took    decide.Time
 	load    decide.Load
 	status  int
+	spoilt  bool // an answer came and cannot be believed
 	err     error
 }
 
 // drained stops the call if its first byte is not written yet.
 func (c *call) drained() {
+	c.leaving.Store(true)
 	if c.stage.CompareAndSwap(callWaiting, callStopped) {
 		c.stop(errDrained)
 	}
 }
 
-// payload is a request body that net/http cannot rewind and so never sends
-// twice by itself. An Idempotency-Key makes a POST replayable to it, where it
-// could get the body again or there is none.
-type payload struct{ *bytes.Reader }
-
-func (payload) Close() error { return nil }
-
 // newCallRequest makes the request of a call. Its GetBody stays nil.
-func newCallRequest(ctx context.Context, hostPort, id, key string, body []byte, timeout time.Duration) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+hostPort+callPath, nil)
+func newCallRequest(hostPort, id, key string, body []byte, timeout time.Duration) (*http.Request, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+hostPort+callPath, nil)
 	if err != nil {
 		return nil, err
 	}
-	req.Body = payload{bytes.NewReader(body)} // also when empty: a missing body may be replayed
-	req.ContentLength = int64(len(body))
+	if req.ContentLength = int64(len(body)); len(body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(body))
+	}
 	req.Header.Set("X-Request-ID", id)
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
@@ -140,54 +122,92 @@
 	return req, nil
 }
 
-// run makes the call and returns when its connection carries nothing of it any
-// more: after the whole answer, or with the connection closed.
-func (c *call) run(conns *http.Transport, hostPort string, rec *record, limit time.Duration, loads []string) outcome {
+// run makes the call. It tells what became of it once, as soon as that is
+// certain, and returns when the call's connection carries nothing of it any
+// more.
+func (c *call) run(h *home, rec *record, limit time.Duration, loads []string, tell func(outcome)) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeoutCause(c.ctx, limit, context.DeadlineExceeded)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			if !c.stage.CompareAndSwap(callWaiting, callSending) && c.stage.Load() == callStopped {
-				cancel() // a drain came first
-			}
-		},
-		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if info.Err != nil {
-				c.broken.Store(true)
-				return
-			}
-			c.stage.CompareAndSwap(callSending, callWritten)
-		},
-	})
-	req, err := newCallRequest(ctx, hostPort, rec.ID, rec.Key, rec.body, limit)
+	end := func(what decide.Outcome, err error) {
+		tell(outcome{what: what, err: err, took: time.Since(began).Microseconds()})
+	}
+	req, err := newCallRequest(h.addr, rec.ID, rec.Key, rec.body, limit)
 	if err != nil {
-		return outcome{what: decide.NotSent, err: err}
+		end(decide.NotSent, err)
+		return
+	}
+	var text bytes.Buffer
+	if err := req.Write(&text); err != nil {
+		end(decide.NotSent, err)
+		return
 	}
-	resp, err := conns.RoundTrip(req)
-	o := outcome{took: time.Since(began).Microseconds()}
+	conn, what, err := c.send(ctx, h, text.Bytes())
 	if err != nil {
-		o.what, o.err = c.failure(ctx, err), err
-		return o
+		end(what, err)
+		return
 	}
-	defer resp.Body.Close()
-	o.status = resp.StatusCode
-	readAnswer(resp, &o, loads)
-	io.Copy(io.Discard, io.LimitReader(resp.Body, answerMost)) // read to the end, it can carry the next call
-	return o
+	unwatch := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
+	told := false
+	keep := readAnswer(conn, req, loads, func(o outcome) {
+		told = true
+		o.took = time.Since(began).Microseconds()
+		if o.what == decide.Reset {
+			o.what = c.unanswered(ctx)
+		}
+		// Nobody waits for the call any more; what is left of its answer has
+		// its own bound.
+		tell(o)
+	})
+	if !unwatch() || !told || !keep {
+		conn.drop()
+		return
+	}
+	conn.put()
 }
 
-// failure maps a call without an answer. What never ran is claimed only where
-// it is certain: no connection, or one that broke before the last byte.
-func (c *call) failure(ctx context.Context, err error) decide.Outcome {
-	switch stage := c.stage.Load(); {
-	case stage == callStopped:
-		return decide.NotSent
-	case stage == callWaiting:
-		return decide.NoConnect
-	case stage == callSending && c.broken.Load() && ctx.Err() == nil:
-		return decide.NoConnect
+var longAgo = time.Unix(1, 0)
+
+// send gets a connection and writes the call to it. With an error, its last
+// byte was not written. A kept connection that turns out to be of no use
+// before then is replaced once: nothing of the call counts so far.
+func (c *call) send(ctx context.Context, h *home, text []byte) (*poolConn, decide.Outcome, error) {
+	for again := true; ; again = false {
+		conn, err := h.get(ctx)
+		if err == errNoRoom || c.stage.Load() == callStopped {
+			if conn != nil {
+				conn.put()
+			}
+			return nil, decide.NotSent, cmp.Or(err, errDrained)
+		}
+		if err != nil {
+			return nil, decide.NoConnect, err
+		}
+		conn.left = answerMost
+		if !c.stage.CompareAndSwap(callWaiting, callSending) { // a drain came first
+			conn.put()
+			return nil, decide.NotSent, errDrained
+		}
+		stop := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
+		err = conn.write(text)
+		if err == nil {
+			stop() // the caller watches on
+			return conn, 0, nil
+		}
+		stop()
+		conn.drop()
+		if !again || !conn.used || ctx.Err() != nil || c.leaving.Load() {
+			return nil, decide.NoConnect, err
+		}
+		c.stage.Store(callWaiting)
+		if c.leaving.Load() { // said between the two: drained saw a call under way
+			return nil, decide.NotSent, errDrained
+		}
 	}
+}
+
+// unanswered maps a call that was written and has no answer.
+func (c *call) unanswered(ctx context.Context) decide.Outcome {
 	switch {
 	case errors.Is(context.Cause(ctx), errCancelled):
 		return decide.Cancelled
@@ -197,16 +217,87 @@
 	return decide.Reset
 }
 
-// readAnswer maps an answer to an outcome.
-func readAnswer(resp *http.Response, o *outcome, loads []string) {
-	o.load = readLoad(resp.Header.Get("X-Server-Load"), loads)
-	switch resp.StatusCode {
-	case http.StatusOK:
-		o.what, o.settled = decide.Delivered, true
+// readAnswer reads an answer and tells its outcome: a first line with 200 is
+// true whatever follows it; anything else is believed only once all of it has
+// been read and makes sense, since a spoilt answer is that of a call that may
+// have run. It reports whether the connection can carry another call.
+func readAnswer(conn *poolConn, req *http.Request, loads []string, tell func(outcome)) (keep bool) {
+	status, err := 0, error(nil)
+	begun := false
+	for hints := 0; ; hints++ {
+		var line string
+		if _, err = conn.in.Peek(1); err == nil && !begun {
+			begun = true
+			stop := conn.bound(answerWait)
+			defer stop()
+		}
+		if line, err = firstLine(conn.in); err == nil {
+			status, err = statusOf(line)
+		}
+		if err == nil && status < 200 && hints >= hintsMost {
+			err = errors.New("too many answers ahead of the last")
+		}
+		if err != nil {
+			o := outcome{what: decide.Reset, err: err}
+			if begun && !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+				o.what, o.spoilt = decide.Errored, true
+			}
+			tell(o)
+			return false
+		}
+		if status >= 200 {
+			break
+		}
+		if err := skipHead(conn.in); err != nil {
+			tell(outcome{what: decide.Errored, spoilt: true, err: err})
+			return false
+		}
+	}
+	if status == http.StatusOK {
+		tell(outcome{what: decide.Delivered, settled: true, status: status})
+	}
+	resp, err := http.ReadResponse(conn.in, req)
+	if err == nil {
+		if resp.ContentLength > bodyMost {
+			err = errTooBig
+		} else {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		resp.Body.Close()
+	}
+	if status == http.StatusOK {
+		return err == nil && !resp.Close
+	}
+	o := outcome{status: status, err: err}
+	if err == nil {
+		o.load = readLoad(resp.Header.Get("X-Server-Load"), loads)
+		o.err = o.read(resp.Header)
+	}
+	if o.err != nil {
+		o.what, o.spoilt, o.wait, o.slots, o.settled = decide.Errored, true, 0, false, false
+	}
+	tell(o)
+	return o.err == nil && !resp.Close
+}
+
+// bound gives what is left of an answer some time. The call's own limit stays.
+func (c *poolConn) bound(d time.Duration) (stop func() bool) {
+	t := time.AfterFunc(d, func() { c.SetReadDeadline(longAgo) })
+	return t.Stop
+}
+
+// read maps the head of an answer other than 200 to an outcome. An error means
+// that the head cannot be believed.
+func (o *outcome) read(head http.Header) error {
+	switch o.status {
 	case http.StatusTooManyRequests:
-		o.what, o.wait = decide.Full, retryAfter(resp.Header.Get("Retry-After"))
+		wait, err := retryAfter(head.Get("Retry-After"))
+		if err != nil {
+			return err
+		}
+		o.what, o.wait = decide.Full, wait
 	case http.StatusServiceUnavailable:
-		if o.what = decide.Full; resp.Header.Get("Slots-Taken") == "1" {
+		if o.what = decide.Full; head.Get("Slots-Taken") == "1" {
 			o.what, o.slots = decide.NotSent, true
 		}
 	case http.StatusGatewayTimeout: // has had all its attempts
@@ -216,15 +307,19 @@
 	default: // 500, and what no page names: it may have run
 		o.what = decide.Errored
 	}
+	return nil
 }
 
-// retryAfter reads seconds with decimals.
-func retryAfter(s string) decide.Time {
-	v, err := strconv.ParseFloat(strings.TrimSpace(s), 64)
-	if err != nil || !(v > 0) {
-		return 0
+// retryAfter reads seconds with decimals. None told is no wait.
+func retryAfter(s string) (decide.Time, error) {
+	if s = strings.TrimSpace(s); s == "" {
+		return 0, nil
 	}
-	return decide.Time(min(v, longestWait.Seconds()) * 1e6)
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(v >= 0 && v <= longestWait.Seconds()) {
+		return 0, fmt.Errorf("Retry-After: %.40q", s)
+	}
+	return decide.Time(v * 1e6), nil
 }
 
 // readLoad reads a report such as x0=0.4,x1=25.
@@ -235,7 +330,7 @@
 	for part := range strings.SplitSeq(s, ",") {
 		name, text, _ := strings.Cut(strings.TrimSpace(part), "=")
 		v, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(v >= 0) {
+		if err != nil || !(v >= 0 && v <= loadMost) {
 			continue
 		}
 		switch name {
@@ -249,33 +344,42 @@
 }
 
 // probe asks an endpoint whether it is alive.
-func probe(ctx context.Context, conns *http.Transport, hostPort string) outcome {
+func probe(ctx context.Context, h *home) outcome {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, probeWait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+hostPort+probePath, nil)
-	if err != nil {
-		return outcome{what: decide.NotSent, err: err}
-	}
-	resp, err := conns.RoundTrip(req)
-	o := outcome{took: time.Since(began).Microseconds()}
-	if err != nil {
-		o.err, o.what = err, decide.Reset
-		if ctx.Err() != nil {
-			o.what = decide.TimedOut
+	o := outcome{what: decide.NotSent}
+	if o.err = func() error {
+		req, err := http.NewRequest(http.MethodGet, "http://"+h.addr+probePath, nil)
+		if err != nil {
+			return err
 		}
-		return o
-	}
-	defer resp.Body.Close()
-	o.status = resp.StatusCode
-	switch resp.StatusCode {
-	case http.StatusOK:
-		o.what = decide.Delivered
-	case http.StatusServiceUnavailable:
-		o.what = decide.Full
-	default:
-		o.what = decide.Errored
+		var text bytes.Buffer
+		if err := req.Write(&text); err != nil {
+			return err
+		}
+		conn, err := h.get(ctx)
+		if err == errNoRoom {
+			return err
+		}
+		if o.what = decide.NoConnect; err != nil {
+			return err
+		}
+		conn.left = answerMost
+		unwatch := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
+		keep := false
+		if err = conn.write(text.Bytes()); err == nil {
+			keep = readAnswer(conn, req, nil, func(x outcome) { o.what, o.status, err = x.what, x.status, x.err })
+		}
+		if !unwatch() || !keep {
+			conn.drop()
+		} else {
+			conn.put()
+		}
+		return err
+	}(); ctx.Err() != nil && o.status == 0 {
+		o.what = decide.TimedOut
 	}
-	io.Copy(io.Discard, io.LimitReader(resp.Body, answerMost))
+	o.took = time.Since(began).Microseconds()
 	return o
 }
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -80,7 +80,7 @@
 	held      int
 	calls     int
 	stopAt    time.Time
-	idleConns int
+	pool      *pool
 	ctx       context.Context
 }
 
@@ -106,7 +106,11 @@
 		msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
 		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}}
 	_, conns := cfg.budget()
-	r.idleConns = max(2, (conns-cfg.Policy.Slots)/40)
+	keep := time.Duration(cfg.Policy.KeepAlive) * time.Microsecond
+	// A request written to a connection that the endpoint is closing ends as a
+	// reset: ours close first.
+	r.pool = newPool(time.Duration(cfg.Policy.ConnectTimeout)*time.Microsecond, keep-keep/idleMargin, conns)
+	go r.pool.run(ctx)
 	wal, owed, err := openWAL(cfg.State, int64(cfg.Limits.DiskMB)<<20, log)
 	if err != nil {
 		return err
@@ -425,9 +429,11 @@
 	if x.Phase != phaseRemoved && (ep.hostPort != x.HostPort || ep.cell != x.Cell) {
 		// It moved under its old name: nothing more goes to the old place.
 		r.leave(ep)
-		ep.conns = newConns(&r.cfg.Policy, r.idleConns)
 		ep.hostPort, ep.cell = x.HostPort, x.Cell
 	}
+	if x.Phase == phaseUp && (ep.home == nil || ep.gone) {
+		ep.home = r.pool.home(ep.hostPort)
+	}
 	entry := decide.Entry{Endpoint: ep.num, Zone: place(r.cfg.zones, x.Locality), Kind: place(r.cfg.kinds, x.Flavor),
 		Dest: x.Cell, State: decide.Ready, Rate: x.Size}
 	ep.zone = entry.Zone
@@ -453,8 +459,8 @@
 	for c := range ep.calls {
 		c.drained()
 	}
-	if ep.conns != nil {
-		ep.conns.CloseIdleConnections()
+	if ep.home != nil {
+		ep.home.close()
 	}
 }
 
@@ -581,15 +587,15 @@
 		r.timers.add(now + a.After)
 	case decide.ActProbe:
 		if ep := r.byNum[a.Endpoint]; ep != nil && !ep.gone {
-			conns, addr := ep.conns, ep.hostPort
+			h := ep.home
 			go func() {
-				o := probe(r.ctx, conns, addr)
+				o := probe(r.ctx, h)
 				r.in.put(happening{probed: a.Endpoint, result: &o})
 			}()
 		}
 	case decide.ActClose:
-		if ep := r.byNum[a.Endpoint]; ep != nil && ep.conns != nil {
-			ep.conns.CloseIdleConnections()
+		if ep := r.byNum[a.Endpoint]; ep != nil && ep.home != nil {
+			ep.home.closeIdle()
 		}
 	case decide.ActLog:
 		r.log.Info("policy", "says", a.Text)
@@ -615,7 +621,7 @@
 	m.call = c
 	ep.calls[c] = true
 	r.calls++
-	conns, addr, rec := ep.conns, ep.hostPort, m.rec
+	h, rec := ep.home, m.rec
 	r.wal.submit(&record{Kind: recAttempt, ID: rec.ID, At: r.wall(r.now()), Zone: ep.zone}, func(err error) {
 		if err != nil {
 			stop(err)
@@ -623,9 +629,10 @@
 			return
 		}
 		go func() {
-			o := c.run(conns, addr, rec, time.Duration(limit)*time.Microsecond, r.cfg.loads)
-			stop(nil)
-			r.in.put(happening{call: c, result: &o})
+			defer stop(nil)
+			c.run(h, rec, time.Duration(limit)*time.Microsecond, r.cfg.loads, func(o outcome) {
+				r.in.put(happening{call: c, result: &o})
+			})
 		}()
 	})
 }
@@ -644,8 +651,8 @@
 		r.calls--
 	}
 	r.events = append(r.events, e)
-	if c.ep != nil && c.ep.conns != nil && c.ep.suspect(o, r.now()) {
-		c.ep.conns.CloseIdleConnections()
+	if c.ep != nil && c.ep.home != nil && c.ep.suspect(o, r.now()) {
+		c.ep.home.closeIdle()
 	}
 	if o.what != decide.Delivered {
 		r.log.Info("attempt", "message", m.rec.ID, "dest", m.rec.Dest, "class", m.rec.Class, "endpoint", e.Endpoint,
--- /dev/null
+++ b/internal/relay/pool.go
@@ -0,0 +1,286 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// The connections to endpoints. They are our own, and not net/http's, for what
+// must be certain of each call: whether its last byte was written, that the
+// answer read is its own, and that nothing of it goes on once it is over.
+
+const (
+	poolSweep = 500 * time.Millisecond
+	// What an endpoint sends behind an answer comes with it or straight after;
+	// a connection is not used again before that could be seen.
+	poolSettle = 5 * time.Millisecond
+)
+
+var (
+	errNoRoom = errors.New("no descriptor for another connection")
+	errTooBig = errors.New("more bytes than an answer may have")
+)
+
+// pool keeps the connections of all endpoints within one number.
+type pool struct {
+	connect time.Duration
+	keep    time.Duration
+	most    int
+
+	mu   sync.Mutex
+	open int         // dialled, in use or idle
+	idle []*poolConn // the one idle for longest first
+}
+
+// home is one endpoint's part of the pool.
+type home struct {
+	pool   *pool
+	addr   string
+	dial   func(ctx context.Context, addr string) (net.Conn, error)
+	closed bool // under the pool's lock: nothing is kept any more
+}
+
+// poolConn is one connection, held by one call or idle.
+type poolConn struct {
+	net.Conn
+	home *home
+	in   *bufio.Reader
+	left int64 // bytes that may still be read for the answer
+	used bool  // it has carried a call
+	at   time.Time
+}
+
+// Read bounds what an answer may bring.
+func (c *poolConn) Read(b []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, errTooBig
+	}
+	n, err := c.Conn.Read(b[:min(int64(len(b)), c.left)])
+	c.left -= int64(n)
+	return n, err
+}
+
+func newPool(connect, keep time.Duration, most int) *pool {
+	return &pool{connect: connect, keep: keep, most: most}
+}
+
+func (p *pool) home(addr string) *home {
+	d := &net.Dialer{Timeout: p.connect, KeepAlive: -1}
+	return &home{pool: p, addr: addr, dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", addr)
+	}}
+}
+
+// run closes what has been idle for too long, or was closed or written to by
+// its endpoint, until ctx ends.
+func (p *pool) run(ctx context.Context) {
+	tick := time.NewTicker(poolSweep)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.sweep(func(*poolConn) bool { return true })
+			return
+		case now := <-tick.C:
+			p.sweep(func(c *poolConn) bool { return p.stale(c, now) || !c.clean() })
+		}
+	}
+}
+
+func (p *pool) stale(c *poolConn, now time.Time) bool { return p.keep > 0 && now.Sub(c.at) >= p.keep }
+
+// sweep closes the idle connections that bad names.
+func (p *pool) sweep(bad func(*poolConn) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if bad(c) {
+			p.shut(c)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+// shut closes a connection; the caller holds mu.
+func (p *pool) shut(c *poolConn) {
+	c.Conn.Close()
+	p.open--
+}
+
+// drop closes a connection that a call held.
+func (c *poolConn) drop() {
+	p := c.home.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shut(c)
+}
+
+// get gives a connection: the one used last of those that are idle and clean,
+// or a new one.
+func (h *home) get(ctx context.Context) (*poolConn, error) {
+	p := h.pool
+	p.mu.Lock()
+	now := time.Now()
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if c.home != h || now.Sub(c.at) < poolSettle {
+			continue
+		}
+		p.idle = append(p.idle[:i], p.idle[i+1:]...)
+		if !p.stale(c, now) && c.clean() {
+			p.mu.Unlock()
+			return c, nil
+		}
+		p.shut(c)
+	}
+	if p.open >= p.most { // the one that was idle for longest makes room, whosever it is
+		if len(p.idle) == 0 {
+			p.mu.Unlock()
+			return nil, errNoRoom
+		}
+		p.shut(p.idle[0])
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+	}
+	p.open++
+	p.mu.Unlock()
+	conn, err := h.dial(ctx, h.addr)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	c := &poolConn{Conn: conn, home: h}
+	c.in = bufio.NewReader(c)
+	return c, nil
+}
+
+// put gives a connection back after a call whose answer was read to its end.
+func (c *poolConn) put() {
+	c.SetDeadline(time.Time{})
+	p := c.home.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.home.closed || !c.clean() {
+		p.shut(c)
+		return
+	}
+	c.at, c.used = time.Now(), true
+	p.idle = append(p.idle, c)
+}
+
+// closeIdle gives up the idle connections.
+func (h *home) closeIdle() { h.pool.sweep(func(c *poolConn) bool { return c.home == h }) }
+
+// close gives them up for good: what calls still hold goes as they end.
+func (h *home) close() {
+	h.pool.mu.Lock()
+	h.closed = true
+	h.pool.mu.Unlock()
+	h.closeIdle()
+}
+
+// clean reports whether nothing waits to be read: whatever comes before a
+// call's last byte is written is no answer to it, and an end is the
+// connection's end.
+func (c *poolConn) clean() bool {
+	if c.in.Buffered() > 0 {
+		return false
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	clean := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		clean = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && clean
+}
+
+// counts is for tests and the log.
+func (p *pool) counts() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open, len(p.idle)
+}
+
+// write sends a whole request but for its last byte, makes sure that nothing
+// has come yet, and then sends that. An error means that the last byte was not written: the call never ran.
+func (c *poolConn) write(text []byte) error {
+	last := len(text) - 1
+	if _, err := c.Conn.Write(text[:last]); err != nil {
+		return err
+	}
+	if !c.clean() {
+		return errUnasked
+	}
+	_, err := c.Conn.Write(text[last:])
+	return err
+}
+
+var errUnasked = errors.New("connection ended or brought bytes before the call was written")
+
+// firstLine waits for an answer's first line and leaves it where it is.
+func firstLine(in *bufio.Reader) (string, error) {
+	for n := 1; ; n = in.Buffered() + 1 {
+		if _, err := in.Peek(n); err != nil {
+			return "", err
+		}
+		have, _ := in.Peek(in.Buffered())
+		for i, b := range have {
+			if b == '\n' {
+				return string(have[:i]), nil
+			}
+		}
+	}
+}
+
+// statusOf reads the code in a first line.
+func statusOf(line string) (int, error) {
+	if len(line) < 12 || line[:7] != "HTTP/1." || line[7] < '0' || line[7] > '1' || line[8] != ' ' ||
+		len(line) > 12 && line[12] != ' ' && line[12] != '\r' {
+		return 0, fmt.Errorf("first line %.40q", line)
+	}
+	code := 0
+	for _, d := range []byte(line[9:12]) {
+		if d < '0' || d > '9' {
+			return 0, fmt.Errorf("first line %.40q", line)
+		}
+		code = code*10 + int(d-'0')
+	}
+	if code < 100 {
+		return 0, fmt.Errorf("first line %.40q", line)
+	}
+	return code, nil
+}
+
+// skipHead reads past the head of an answer that is not the last one.
+func skipHead(in *bufio.Reader) error {
+	for {
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(line) <= 2 && (len(line) == 1 || line[0] == '\r') {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/pool_test.go
@@ -0,0 +1,328 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"troutusher/decide"
+)
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Guards what is believed of an answer. A spoilt one is that of a call that
+// may have run, whatever its first line says, unless that says 200; and no
+// answer is read for longer than it may be or take.
+func TestSpoiltAnswers(t *testing.T) {
+	long := strings.Repeat("x", 8000)
+	for name, x := range map[string]struct {
+		answer  string
+		goes    bool // the endpoint goes on sending
+		what    decide.Outcome
+		settled bool
+		keeps   bool
+	}{
+		"refusal with a short body":     {answer: "HTTP/1.1 503 F\r\nContent-Length: 9\r\n\r\nno", what: decide.Errored},
+		"told to wait with a bad time":  {answer: "HTTP/1.1 429 W\r\nRetry-After: -3\r\nContent-Length: 0\r\n\r\n", what: decide.Errored},
+		"over, head without end":        {answer: "HTTP/1.1 410 G\r\nContent-Le", what: decide.Errored},
+		"not sent, two lengths":         {answer: "HTTP/1.1 504 A\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\n", what: decide.Errored},
+		"refusal, length no number":     {answer: "HTTP/1.1 503 F\r\nContent-Length: many\r\n\r\n", what: decide.Errored},
+		"refusal, negative length":      {answer: "HTTP/1.1 503 F\r\nContent-Length: -1\r\n\r\n", what: decide.Errored},
+		"refusal of 3 GB":               {answer: "HTTP/1.1 503 F\r\nContent-Length: 3221225472\r\n\r\n", goes: true, what: decide.Errored},
+		"refusal, endless head":         {answer: "HTTP/1.1 503 F\r\n", goes: true, what: decide.Errored},
+		"refusal, chunks cut":           {answer: "HTTP/1.1 503 F\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", what: decide.Errored},
+		"noise":                         {answer: "\x00\xff\x13noise\x00", what: decide.Errored},
+		"noise with a line":             {answer: "\x00\xffnoise\r\nHTTP/1.1 503 F\r\n\r\n", what: decide.Errored},
+		"endless line":                  {answer: "HTTP/1.1 503 " + long, goes: true, what: decide.Errored},
+		"not quite a code":              {answer: "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n", what: decide.Errored},
+		"another protocol":              {answer: "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", what: decide.Errored},
+		"delivered, 3 GB":               {answer: "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n", goes: true, what: decide.Delivered, settled: true},
+		"delivered, head without end":   {answer: "HTTP/1.1 200 OK\r\nX-", what: decide.Delivered, settled: true},
+		"delivered, noise for a head":   {answer: "HTTP/1.1 200 OK\r\n\x00\x01\xff", what: decide.Delivered, settled: true},
+		"delivered, bad length":         {answer: "HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\n", what: decide.Delivered, settled: true},
+		"several hints":                 {answer: "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 103 E\r\nLink: x\r\n\r\nHTTP/1.1 102 P\r\n\r\n" + fine, what: decide.Delivered, settled: true, keeps: true},
+		"hints without end":             {answer: strings.Repeat("HTTP/1.1 100 C\r\n\r\n", 500), what: decide.Errored},
+		"a hint, then nothing":          {answer: "HTTP/1.1 103 E\r\n", what: decide.Errored},
+		"refusal, then a copy behind":   {answer: "HTTP/1.1 503 F\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 F\r\nContent-Length: 0\r\n\r\n", what: decide.Full},
+		"delivered, then a copy behind": {answer: fine + fine, what: decide.Delivered, settled: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan int, 1)
+			h := testPool(t).home(rawEndpoint(t, func(c net.Conn) {
+				in := bufio.NewReader(c)
+				if !readCall(in) {
+					return
+				}
+				io.WriteString(c, x.answer)
+				n := 0
+				for x.goes {
+					m, err := c.Write([]byte(long))
+					if n += m; err != nil {
+						closed <- n
+						return
+					}
+				}
+				io.Copy(io.Discard, in) // the connection stays open from this side
+				closed <- n
+			}))
+			o := newTestCall().made(t, h, &record{ID: "m", body: []byte("b")}, testLimit)
+			if o.what != x.what || o.settled != x.settled {
+				t.Errorf("got %+v", o)
+			}
+			if o.took > (testLimit / 2).Microseconds() {
+				t.Errorf("took %d us: it waited for what does not come", o.took)
+			}
+			if _, idle := h.pool.counts(); (idle != 0) != x.keeps {
+				t.Errorf("%d connections kept", idle)
+			}
+			h.closeIdle()
+			if n := <-closed; n > 64<<20 {
+				t.Errorf("%d bytes were sent before the close", n)
+			}
+		})
+	}
+}
+
+// Guards the moment at which a delivery is known: with its first line.
+func TestDeliveredAtFirstLine(t *testing.T) {
+	release := make(chan struct{})
+	h := testPool(t).home(rawEndpoint(t, func(c net.Conn) {
+		if readCall(bufio.NewReader(c)) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+			<-release
+		}
+	}))
+	told, over := make(chan outcome, 1), make(chan struct{})
+	go func() {
+		defer close(over)
+		newTestCall().run(h, &record{ID: "m"}, testLimit, nil, func(o outcome) { told <- o })
+	}()
+	if o := <-told; o.what != decide.Delivered {
+		t.Errorf("got %+v", o)
+	}
+	select {
+	case <-over:
+		t.Error("the rest was not waited for at all")
+	default:
+	}
+	<-over
+	close(release)
+}
+
+// Guards each answer against what came behind the one before: a second copy
+// or noise must not pass for the next call's answer, whether it is there when
+// the connection is put back, while it is idle, or only when the call is
+// written but for its last byte. Nothing of the call counts then, so that it
+// goes out on another connection, once.
+func TestBytesBehindAnAnswer(t *testing.T) {
+	for name, behind := range map[string]string{"copy": fine, "noise": "\x00\x01\x02", "end": ""} {
+		t.Run("while idle, "+name, func(t *testing.T) {
+			var conns, calls atomic.Int32
+			said := make(chan struct{}, 8)
+			more := make(chan struct{})
+			h := testPool(t).home(rawEndpoint(t, func(c net.Conn) {
+				first := conns.Add(1) == 1
+				in := bufio.NewReader(c)
+				for readCall(in) {
+					if calls.Add(1); !first {
+						io.WriteString(c, "HTTP/1.1 503 F\r\nContent-Length: 0\r\n\r\n")
+						continue
+					}
+					io.WriteString(c, fine)
+					<-more
+					io.WriteString(c, behind)
+					said <- struct{}{}
+					if behind == "" {
+						return
+					}
+				}
+			}))
+			if o := newTestCall().made(t, h, &record{ID: "a"}, testLimit); o.what != decide.Delivered {
+				t.Fatalf("first: %+v", o)
+			}
+			if _, idle := h.pool.counts(); idle != 1 {
+				t.Fatalf("%d idle connections, want 1", idle)
+			}
+			close(more)
+			<-said
+			settled(h)
+			waitFor(t, "the bytes", func() bool {
+				h.pool.mu.Lock()
+				defer h.pool.mu.Unlock()
+				return len(h.pool.idle) == 0 || !h.pool.idle[0].clean()
+			})
+			if o := newTestCall().made(t, h, &record{ID: "b"}, testLimit); o.what != decide.Full {
+				t.Errorf("second: %+v", o)
+			}
+			if conns.Load() != 2 || calls.Load() != 2 {
+				t.Errorf("%d connections, %d calls, want 2 and 2", conns.Load(), calls.Load())
+			}
+		})
+	}
+	t.Run("while the call is written", func(t *testing.T) {
+		var conns atomic.Int32
+		got := make(chan int, 4) // bytes of the second call on the first connection
+		h := testPool(t).home(rawEndpoint(t, func(c net.Conn) {
+			first := conns.Add(1) == 1
+			in := bufio.NewReader(c)
+			for n := 0; readCall(in); n++ {
+				if !first {
+					io.WriteString(c, "HTTP/1.1 503 F\r\nContent-Length: 0\r\n\r\n")
+					continue
+				}
+				io.WriteString(c, fine)
+				rest, _ := io.ReadAll(in)
+				got <- strings.Count(string(rest), "tail of the body")
+			}
+		}))
+		if o := newTestCall().made(t, h, &record{ID: "a"}, testLimit); o.what != decide.Delivered {
+			t.Fatalf("first: %+v", o)
+		}
+		settled(h)
+		h.pool.mu.Lock()
+		c := h.pool.idle[0]
+		c.Conn = &racing{TCPConn: c.Conn.(*net.TCPConn)}
+		h.pool.mu.Unlock()
+		if o := newTestCall().made(t, h, &record{ID: "b", body: []byte("the tail of the body")}, testLimit); o.what != decide.Full {
+			t.Errorf("second: %+v", o)
+		}
+		if n := <-got; n != 0 || conns.Load() != 2 {
+			t.Errorf("the call went out whole on the first connection (%d), %d connections", n, conns.Load())
+		}
+	})
+}
+
+// racing brings bytes just as a call begins to be written.
+type racing struct {
+	*net.TCPConn
+	begun bool
+}
+
+func (r *racing) Write(b []byte) (int, error) {
+	n, err := r.TCPConn.Write(b)
+	if !r.begun {
+		r.begun = true
+		r.TCPConn.CloseRead() // an end is as good as a byte: something is there to be read
+	}
+	return n, err
+}
+
+// Guards what never ran: a connection that breaks before the call's last byte
+// is written.
+func TestBrokenBeforeTheLastByte(t *testing.T) {
+	h := testPool(t).home(rawEndpoint(t, func(c net.Conn) { io.Copy(io.Discard, c) }))
+	dial := h.dial
+	h.dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := dial(ctx, addr)
+		return &breaking{TCPConn: c.(*net.TCPConn)}, err
+	}
+	if o := newTestCall().made(t, h, &record{ID: "m", body: []byte("b")}, testLimit); o.what != decide.NoConnect {
+		t.Errorf("got %+v", o)
+	}
+}
+
+type breaking struct {
+	*net.TCPConn
+	writes int
+}
+
+func (b *breaking) Write(p []byte) (int, error) {
+	if b.writes++; b.writes == 2 {
+		return 0, errors.New("broken")
+	}
+	return b.TCPConn.Write(p)
+}
+
+// Guards the descriptors: the number open is bounded over all endpoints, and
+// what is idle makes room for what is wanted. A dial that is given up frees
+// its place.
+func TestPoolBounded(t *testing.T) {
+	serve := func(c net.Conn) {
+		for in := bufio.NewReader(c); readCall(in); {
+			io.WriteString(c, fine)
+		}
+	}
+	p := testPool(t)
+	p.most = 3
+	for i := range 10 {
+		if o := newTestCall().made(t, p.home(rawEndpoint(t, serve)), &record{ID: "m"}, testLimit); o.what != decide.Delivered {
+			t.Fatalf("endpoint %d: %+v", i, o)
+		}
+		if open, _ := p.counts(); open > 3 {
+			t.Fatalf("%d connections open, 3 allowed", open)
+		}
+	}
+	entered := make(chan struct{}, 3)
+	stuck := p.home(rawEndpoint(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		readCall(in)
+		entered <- struct{}{}
+		in.ReadByte()
+	}))
+	var calls []*call
+	over := make(chan outcome, 3)
+	for range 3 {
+		c := newTestCall()
+		calls = append(calls, c)
+		go func() { c.run(stuck, &record{ID: "m"}, testLimit, nil, func(o outcome) { over <- o }) }()
+		<-entered
+	}
+	if o := newTestCall().made(t, stuck, &record{ID: "m"}, testLimit); o.what != decide.NotSent {
+		t.Errorf("a fourth: %+v", o)
+	}
+	for _, c := range calls {
+		c.stop(errCancelled)
+		<-over
+	}
+	waitFor(t, "places", func() bool { open, _ := p.counts(); return open == 0 })
+	refused := p.home("127.0.0.1:1")
+	if o := newTestCall().made(t, refused, &record{ID: "m"}, testLimit); o.what != decide.NoConnect {
+		t.Errorf("refused: %+v", o)
+	}
+	if open, _ := p.counts(); open != 0 {
+		t.Errorf("%d open after a refused dial", open)
+	}
+}
+
+// Guards against what an endpoint closed or wrote to while it was idle: it
+// must not hold a descriptor until its next use.
+func TestPoolSweeps(t *testing.T) {
+	end := make(chan struct{})
+	p := testPool(t)
+	h := p.home(rawEndpoint(t, func(c net.Conn) {
+		if readCall(bufio.NewReader(c)) {
+			io.WriteString(c, fine)
+			<-end
+		}
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); p.run(ctx) }()
+	newTestCall().made(t, h, &record{ID: "m"}, testLimit)
+	if _, idle := p.counts(); idle != 1 {
+		t.Fatalf("%d idle", idle)
+	}
+	close(end)
+	waitFor(t, "the sweep", func() bool { open, _ := p.counts(); return open == 0 })
+	cancel()
+	<-done
+	// And one whose endpoint has left is not kept after its call.
+	gone := p.home(rawEndpoint(t, func(c net.Conn) {
+		if readCall(bufio.NewReader(c)) {
+			io.WriteString(c, fine)
+			time.Sleep(time.Millisecond)
+		}
+	}))
+	gone.close()
+	newTestCall().made(t, gone, &record{ID: "m"}, testLimit)
+	if open, _ := p.counts(); open != 0 {
+		t.Errorf("%d open at an endpoint that left", open)
+	}
+}
