Decide the same with less work in a crowd

At fault in decide.go: shed() asked for each held message when its destination opens, and best() computed the queue's drain for each comparison of its sort, also where no lane would let a call go. Now a destination is looked at once a pass, a loss found once a look, nothing is sorted while every lane is shut, and the relays' power of the pace is computed once.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,6 +47,7 @@
 	p.set.Classes = slices.Clone(s.Classes)
 	p.set.Streams = max(s.Streams, 1)
 	p.set.Tick = max(s.Tick, second/1000)
+	p.share = math.Pow(float64(s.Relays), shareRoot)
 	return p, nil
 }
 
@@ -240,13 +241,18 @@
 	for p.set.MaxHeld > 0 && len(p.live) > p.set.MaxHeld-max(1, p.set.MaxHeld/heldReserve) {
 		var least *message
 		low := math.Inf(1)
+		p.passes++
 		for _, m := range p.live {
 			if p.refusable(m) {
-				at := p.opens(m.dest)
-				if at == math.MaxInt64 { // an answer, not the time, lets it go
-					at = p.now
+				d := m.dest
+				if d.pass != p.passes { // the same for all that wait there
+					at := p.opens(d)
+					if at == math.MaxInt64 { // an answer, not the time, lets it go
+						at = p.now
+					}
+					d.pass, d.doneAt = p.passes, at+p.drain(d)
 				}
-				if v := p.value(m, min(at+p.drain(m.dest), m.deadline)); v < low {
+				if v := p.value(m, min(d.doneAt, m.deadline)); v < low {
 					least, low = m, v
 				}
 			}
@@ -614,7 +620,7 @@
 		return float64(p.set.Slots) * 2
 	}
 	whole := p.capacity(l)
-	return max(whole/math.Pow(float64(p.set.Relays), shareRoot), math.Sqrt(whole)/2) * l.boost
+	return max(whole/p.share, math.Sqrt(whole)/2) * l.boost
 }
 
 // depth is how many calls a lane may save up: as much as chance alone moves a second of what all relays
@@ -767,6 +773,30 @@
 	}
 }
 
+// order puts first what loses most if it waits as long as the queue takes.
+func (p *Policy) order(d *dest) {
+	soon := p.now + p.usual(d)
+	then := soon + p.drain(d)
+	for _, m := range d.queue {
+		m.loss = p.value(m, soon) - p.value(m, then)
+	}
+	slices.SortStableFunc(d.queue, func(a, b *message) int {
+		return cmp.Or(cmp.Compare(b.loss, a.loss), cmp.Compare(a.aimAt, b.aimAt))
+	})
+}
+
+// open: some lane of a destination lets a call go, whatever its endpoints say. Where none does, the order of
+// what waits is of no use yet.
+func (p *Policy) open(d *dest) bool {
+	open := false
+	for _, l := range d.lanes { // each is asked: a lane notes that its pace kept something waiting
+		if p.room(l) && p.paced(l) {
+			open = true
+		}
+	}
+	return open
+}
+
 // touch has a destination looked at in this turn.
 func (p *Policy) touch(d *dest) {
 	if !d.touched {
@@ -782,14 +812,14 @@
 	if len(d.queue) == 0 {
 		return
 	}
-	slices.SortStableFunc(d.queue, func(a, b *message) int {
-		return cmp.Or(cmp.Compare(p.loss(b), p.loss(a)), cmp.Compare(a.aimAt, b.aimAt))
-	})
-	for _, m := range d.queue {
-		if ep := p.choose(m); ep != nil {
-			d.pick, d.pickAt = m, ep
-			d.pickVal = (p.loss(m) + m.worth/1000) / float64(p.usual(d)+1)
-			return
+	if p.open(d) {
+		p.order(d)
+		for _, m := range d.queue {
+			if ep := p.choose(m); ep != nil {
+				d.pick, d.pickAt = m, ep
+				d.pickVal = (m.loss + m.worth/1000) / float64(p.usual(d)+1)
+				return
+			}
 		}
 	}
 	if at := p.opens(d); at < math.MaxInt64 && (d.wakeAt <= p.now || at < d.wakeAt) {
@@ -800,6 +830,7 @@
 
 // opens is the next moment at which time alone may let something go to a destination.
 func (p *Policy) opens(d *dest) Time {
+	p.looks++
 	next := Time(math.MaxInt64)
 	for _, l := range d.lanes {
 		t := max(l.pauseUntil, l.waitUntil, l.tokens.when(p.now, 1, p.pace(l), p.depth(l)))
@@ -825,11 +856,6 @@
 	return next
 }
 
-func (p *Policy) loss(m *message) float64 {
-	soon := p.now + p.usual(m.dest)
-	return p.value(m, soon) - p.value(m, soon+p.drain(m.dest))
-}
-
 // call makes one call with the picked message and what may share it.
 func (p *Policy) call(d *dest) {
 	ep, l := d.pickAt, d.pickAt.lane
--- a/decide/state.go
+++ b/decide/state.go
@@ -27,6 +27,9 @@
 	aloft   int // messages not ended with an attempt out
 	armed   Time
 	asked   Time
+	share   float64   // what a destination's rate is divided by for this relay's part
+	passes  int       // looks over all that is held so far
+	looks   int       // how often it was asked when a destination opens: the dear part of a turn
 	tight   []float64 // share of calls that found no connection, by kind of destination
 	lat     latency   // of all answers
 	pressed Time      // since when messages wait and every slot is taken; 0 for not
@@ -42,6 +45,8 @@
 	flying  int
 	touched bool
 	wakeAt  Time // next moment in wakes
+	pass    int  // the look that doneAt was found in
+	doneAt  Time // when what waits now will have gone
 	pick    *message
 	pickAt  *endpoint
 	pickVal float64
@@ -99,6 +104,7 @@
 	aimAt    Time
 	deadline Time
 	worth    float64
+	loss     float64 // by waiting, when its destination was last looked at
 	over     bool
 	place    int // in Policy.live
 	tries    int
