Keep places for usual clients when others connect, stall or send rubbish

Now a first whole command has 2 s from connecting, a later one 2 s from its first byte, then an error line and a close; an idle connection is closed after 4 s. The silent hold half of the places at most and go first, but not within 20 ms, in which what they sent may not have been read. Where nobody can go the new one is closed. A fault is answered 100 ms late and the tenth on a connection is the last, so that a flood does not eat the core.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,10 +25,21 @@
 	skipMost   = 1 << 20 // a body this long is still read past, so that the connection can go on
 	lineMost   = 32
 	writeWait  = 2 * time.Second
-	wholeWait  = 5 * time.Second // from a command's first byte to its last
+	firstWait  = 2 * time.Second // from a connection to its first whole command
+	wholeWait  = 2 * time.Second // from a later command's first byte to its last
+	idleWait   = 4 * time.Second // without a request
+	unreadWait = 20 * time.Millisecond
 	lingerWait = 200 * time.Millisecond
+	lingerMost = 256 << 10
+	// Faults are answered a little later than they could be, and only so many on
+	// a connection: one that sends the same again and again must not eat the core.
+	faultPause = 100 * time.Millisecond
+	faultsMost = 10
+	overMost   = 8 // connections over the number that may be open, while others close
 )
 
+var errUnfinished = errors.New("command not finished in time")
+
 // errTooLong is a command that was read past: the connection is still in step.
 var errTooLong = errors.New("argument too long")
 
@@ -61,8 +73,8 @@
 				return nil, midway(err)
 			}
 		} else {
-			arg := make([]byte, size)
-			if _, err := io.ReadFull(r, arg); err != nil {
+			arg, err := readArg(r, size)
+			if err != nil {
 				return nil, midway(err)
 			}
 			args = append(args, arg)
@@ -81,6 +93,19 @@
 	return args, nil
 }
 
+// readArg reads an argument. Memory for a long one is spent as its bytes come,
+// not when they are announced.
+func readArg(r *bufio.Reader, size int) ([]byte, error) {
+	if size <= argMost {
+		arg := make([]byte, size)
+		_, err := io.ReadFull(r, arg)
+		return arg, err
+	}
+	var b bytes.Buffer
+	_, err := io.CopyN(&b, r, int64(size))
+	return b.Bytes(), err
+}
+
 // midway: an end inside a command is not a clean one.
 func midway(err error) error {
 	if errors.Is(err, io.EOF) {
@@ -213,29 +238,38 @@
 	put  func(*request)            // hands it to the loop, which answers
 	said func(q *request, ok bool) // the answer was written, or its client is gone
 	most int
-	// One that begins a command and does not end it must not hold its place
-	// for ever: it is not idle, and so never makes room for others.
-	patience time.Duration
+	// One that says nothing, or begins a command and does not end it, must not
+	// hold its place for ever.
+	first, whole, quiet time.Duration
 
 	mu      sync.Mutex
-	conns   map[*clientConn]bool
+	conns   map[*clientConn]bool // until their descriptors are free
 	closing bool
-	wg      sync.WaitGroup
 }
 
+// clientConn is one connection. What is said of it is guarded by the lock of
+// clients.
 type clientConn struct {
 	net.Conn
-	busy int // requests begun and not answered
-	idle time.Time
+	busy     int // requests begun and not answered
+	faults   int // of the answering goroutine alone
+	idle     time.Time
+	spoke    bool // has sent a whole command
+	released bool
 }
 
-// release ends the wait for a next request. A connection is closed only so:
-// where a request's first byte has been read by then, it is answered first.
-func (cc *clientConn) release() { cc.SetReadDeadline(time.Unix(1, 0)) }
+// release ends the wait for a next request, for good. A connection is closed
+// only so: where a request's first byte has been read by then, it is answered
+// first.
+func (cc *clientConn) release() {
+	cc.released = true
+	cc.SetReadDeadline(longAgo)
+}
 
 func newClients(cfg *Config, log *slog.Logger, put func(*request), said func(*request, bool)) *clients {
 	most, _ := cfg.budget()
-	return &clients{cfg: cfg, log: log, put: put, said: said, most: most, patience: wholeWait, conns: map[*clientConn]bool{}}
+	return &clients{cfg: cfg, log: log, put: put, said: said, most: most,
+		first: firstWait, whole: wholeWait, quiet: idleWait, conns: map[*clientConn]bool{}}
 }
 
 // serve accepts until the listener is closed.
@@ -252,37 +286,60 @@
 			continue
 		}
 		cc := &clientConn{Conn: conn, idle: time.Now()}
-		c.mu.Lock()
-		if len(c.conns) >= c.most {
-			c.evict()
+		if !c.enter(cc) {
+			cc.Close() // cheaply: a flood must leave time for the others
+			continue
 		}
-		c.conns[cc] = true
-		c.wg.Add(1)
-		c.mu.Unlock()
 		go func() {
-			defer c.wg.Done()
 			c.talk(cc)
+			cc.Close()
 			c.mu.Lock()
 			delete(c.conns, cc)
 			c.mu.Unlock()
-			cc.Close()
 		}()
 	}
 }
 
-// evict closes the connection that has been idle for longest, to make room for
-// a new one: clients open another when they need it. The caller holds mu.
-func (c *clients) evict() {
-	var oldest *clientConn
-	for cc := range c.conns {
-		if cc.busy == 0 && (oldest == nil || cc.idle.Before(oldest.idle)) {
-			oldest = cc
+// enter gives a connection its place, if need be that of another. Those that
+// have said nothing yet hold half of the places at most.
+func (c *clients) enter(cc *clientConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var silent, idle *clientConn // the oldest of each kind without a request
+	silents := 0
+	for x := range c.conns {
+		switch {
+		case x.busy > 0 || x.released:
+		case x.spoke && (idle == nil || x.idle.Before(idle.idle)):
+			idle = x
+		case !x.spoke:
+			silents++
+			if silent == nil || x.idle.Before(silent.idle) {
+				silent = x
+			}
+		}
+	}
+	if silent != nil && cc.idle.Sub(silent.idle) < unreadWait {
+		silent = nil // what it sent may not have been read yet
+	}
+	if crowd := silents >= max(c.most/2, 1); crowd || len(c.conns) >= c.most {
+		// Clients open another when they need it. One let go keeps counting
+		// until its descriptor is free.
+		switch {
+		case silent != nil:
+			silent.release()
+		case idle != nil && !crowd:
+			idle.release()
+		default:
+			return false
 		}
 	}
-	if oldest != nil {
-		delete(c.conns, oldest)
-		oldest.release()
+	if len(c.conns) >= c.most+overMost {
+		return false
 	}
+	c.conns[cc] = true
+	cc.SetReadDeadline(cc.idle.Add(c.first))
+	return true
 }
 
 // closeIdle closes the connections that carry no request, and each of the
@@ -303,7 +360,32 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc.busy++
-	cc.SetReadDeadline(time.Now().Add(c.patience))
+	if cc.spoke { // a first command has the time that its connection has
+		cc.SetReadDeadline(time.Now().Add(c.whole))
+	} else if cc.released {
+		cc.SetReadDeadline(time.Now().Add(c.first))
+	}
+}
+
+// read marks that a whole command has been read.
+func (c *clients) read(cc *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc.spoke = true
+	c.await(cc)
+}
+
+// await sets the time for the next request to begin. One that was let go, and
+// is only still answered, gets none. The caller holds mu.
+func (c *clients) await(cc *clientConn) {
+	switch {
+	case cc.released || c.closing && cc.busy == 0:
+		cc.SetReadDeadline(longAgo)
+	case cc.busy > 0:
+		cc.SetReadDeadline(time.Time{})
+	default:
+		cc.SetReadDeadline(cc.idle.Add(c.quiet))
+	}
 }
 
 // finish marks a request answered; it reports whether the connection is to be
@@ -313,6 +395,9 @@
 	defer c.mu.Unlock()
 	cc.busy--
 	cc.idle = time.Now()
+	if cc.busy == 0 {
+		c.await(cc)
+	}
 	return c.closing && cc.busy == 0
 }
 
@@ -337,8 +422,12 @@
 			}
 			c.begin(cc)
 			args, err := readCommand(in)
-			cc.SetReadDeadline(time.Time{})
-			if err != nil && (errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, new(net.Error))) {
+			switch {
+			case err == nil:
+				c.read(cc)
+			case errors.Is(err, os.ErrDeadlineExceeded):
+				err = errUnfinished
+			case errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, new(net.Error)):
 				return // nobody is there to be told
 			}
 			select {
@@ -355,7 +444,7 @@
 		for more := &cmd; more != nil; {
 			cmd := *more
 			if cmd.err != nil && cmd.err != errTooLong {
-				c.write(cc, fault(cmd.err))
+				c.fault(cc, cmd.err)
 				linger(cc)
 				return
 			}
@@ -372,7 +461,7 @@
 // answer, and false where the connection is of no more use.
 func (c *clients) one(cc *clientConn, cmd command, commands chan command) (bool, *command) {
 	if cmd.err != nil {
-		return c.write(cc, fault(cmd.err)), nil
+		return c.fault(cc, cmd.err), nil
 	}
 	switch name := string(bytes.ToUpper(cmd.args[0])); name {
 	case "PING":
@@ -384,7 +473,7 @@
 	case "MSG.PUT":
 		return c.handIn(cc, cmd, commands)
 	default:
-		return c.write(cc, fault(fmt.Errorf("unknown command %.32q", name))), nil
+		return c.fault(cc, fmt.Errorf("unknown command %.32q", name)), nil
 	}
 }
 
@@ -392,7 +481,7 @@
 func (c *clients) handIn(cc *clientConn, cmd command, commands chan command) (bool, *command) {
 	q, err := c.cfg.parsePut(cmd.args, cmd.at)
 	if err != nil {
-		return c.write(cc, fault(err)), nil
+		return c.fault(cc, err), nil
 	}
 	c.put(q)
 	var ahead *command
@@ -418,6 +507,18 @@
 	return err == nil
 }
 
+// fault answers what cannot be used; false where the connection is of no more
+// use.
+func (c *clients) fault(cc *clientConn, err error) bool {
+	time.Sleep(faultPause)
+	if cc.faults++; cc.faults == faultsMost {
+		c.write(cc, fault(err))
+		linger(cc)
+		return false
+	}
+	return c.write(cc, fault(err))
+}
+
 // linger lets an error reach a client that is still sending: closing at once
 // would reset the connection and take the error with it.
 func linger(cc *clientConn) {
@@ -425,5 +526,5 @@
 		t.CloseWrite()
 	}
 	cc.SetReadDeadline(time.Now().Add(lingerWait))
-	io.CopyN(io.Discard, cc, skipMost)
+	io.CopyN(io.Discard, cc, lingerMost)
 }
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -179,28 +180,115 @@
 }
 
 // Guards the places of clients against those that begin a command and never
-// end it. One that waits between commands, or for its answer, is left alone.
+// end it, or say nothing at all: they hear of it, or are closed. One that waits
+// for its answer is left alone.
 func TestHalfACommand(t *testing.T) {
 	got := make(chan *request, 1)
 	c := newClients(testSet(t), quietLog(), func(q *request) { got <- q }, func(*request, bool) {})
-	c.patience = 300 * time.Millisecond
+	c.first, c.whole, c.quiet = 300*time.Millisecond, 300*time.Millisecond, 400*time.Millisecond
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
 	go c.serve(ln)
-	waits, half := dialClient(t, ln.Addr().String()), dialClient(t, ln.Addr().String())
+	waits, half, silent := dialClient(t, ln.Addr().String()), dialClient(t, ln.Addr().String()), dialClient(t, ln.Addr().String())
+	later, quiet := dialClient(t, ln.Addr().String()), dialClient(t, ln.Addr().String())
 	io.WriteString(waits, putText("m", fields("plain", 8000, 1), nil))
 	q := <-got
 	io.WriteString(half, "*5\r\n$7\r\nMSG")
-	if _, err := half.in.ReadByte(); err == nil {
-		t.Error("half a command is answered")
+	for _, cl := range []*testClient{later, quiet} {
+		io.WriteString(cl, "*1\r\n$4\r\nPING\r\n")
+		if s := cl.line(); s != "+PONG" {
+			t.Fatal(s)
+		}
+	}
+	io.WriteString(later, "*5\r\n")
+	for name, cl := range map[string]*testClient{"first": half, "later": later} {
+		if s := cl.line(); !strings.HasPrefix(s, "-ERR ") {
+			t.Errorf("half a command, %s: %q", name, s)
+		}
 	}
-	q.answer(replyOK) // later than the patience with the other
+	for name, cl := range map[string]*testClient{"half": half, "later": later, "silent": silent, "idle": quiet} {
+		if _, err := cl.in.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Errorf("%s is still open: %v", name, err)
+		}
+	}
+	q.answer(replyOK) // later than the patience with the others
 	if s := waits.line(); s != "+OK" {
 		t.Errorf("answer %q", s)
 	}
+	waitFor(t, "places", func() bool { c.mu.Lock(); defer c.mu.Unlock(); return len(c.conns) <= 1 })
+}
+
+// Guards the places of those that have sent a command against hundreds that
+// only connect: these make room for each other, and where nobody can, the new
+// one is closed. What was let go counts until it is closed.
+func TestCrowdThatSaysNothing(t *testing.T) {
+	hold := make(chan *request, 8)
+	c, addr, _ := serveClients(t, func(q *request) { hold <- q })
+	c.mu.Lock()
+	c.most, c.first = 8, 300*time.Millisecond
+	c.mu.Unlock()
+	usual := dialClient(t, addr)
+	io.WriteString(usual, "*1\r\n$4\r\nPING\r\n")
+	usual.line()
+	for range 200 {
+		dialClient(t, addr)
+		c.mu.Lock()
+		if len(c.conns) > c.most+overMost {
+			t.Errorf("%d connections, %d allowed", len(c.conns), c.most+overMost)
+		}
+		c.mu.Unlock()
+	}
+	io.WriteString(usual, "*1\r\n$4\r\nPING\r\n")
+	if s := usual.line(); s != "+PONG" {
+		t.Fatalf("the usual client: %q", s)
+	}
+	waitFor(t, "the crowd's end", func() bool { c.mu.Lock(); defer c.mu.Unlock(); return len(c.conns) <= 1 })
+	for i := range 8 { // the last takes the place of the usual one, where that is still there
+		cl := dialClient(t, addr)
+		io.WriteString(cl, putText("m"+strconv.Itoa(i), fields("plain", 8000, 1), nil))
+		q := <-hold
+		defer q.answer(replyOK)
+	}
+	waitFor(t, "room for none", func() bool { c.mu.Lock(); defer c.mu.Unlock(); return len(c.conns) == c.most })
+	over := dialClient(t, addr)
+	if _, err := over.in.ReadByte(); err == nil {
+		t.Error("one too many is served")
+	}
+}
+
+// Guards the core: the same fault again and again ends the connection, and
+// what was let go stays so after the command that was under way.
+func TestFaultsEndAConnection(t *testing.T) {
+	c, addr, _ := serveClients(t, accept)
+	cl := dialClient(t, addr)
+	io.WriteString(cl, strings.Repeat("*1\r\n$3\r\nGET\r\n", 300))
+	n := 0
+	for {
+		s, err := cl.in.ReadString('\n')
+		if err != nil {
+			break
+		}
+		if n++; !strings.HasPrefix(s, "-ERR ") {
+			t.Errorf("answer %q", s)
+		}
+	}
+	if n != faultsMost {
+		t.Errorf("%d faults answered, want %d", n, faultsMost)
+	}
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	cc := &clientConn{Conn: a, busy: 1}
+	c.mu.Lock()
+	cc.release()
+	c.mu.Unlock()
+	c.read(cc)
+	if _, err := a.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the release is undone: %v", err)
+	}
 }
 
 func FuzzReadCommand(f *testing.F) {
