Let an answer come long after what is ahead of it

Seen from reading the new pool: the 300 ms for an answer ran from the first byte of a 1xx, so a call acknowledged at once and served later would have been given up as spoilt. Now what is ahead and the answer have a bound each. The test holds the answer back for twice that time; it failed before.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -32,16 +32,17 @@
 // endpoint is one address of a destination, with its kept-alive connections.
 // The loop owns it; calls use its address as it was when they began.
 type endpoint struct {
-	id       string
-	num      decide.Endpoint
-	cell     int
-	zone     int
-	hostPort string
-	gone     bool // drained or removed: nothing new goes there
-	goneAt   decide.Time
-	answerAt decide.Time // when it last answered at all
-	home     *home
-	calls    map[*call]bool
+	id        string
+	num       decide.Endpoint
+	cell      int
+	zone      int
+	hostPort  string
+	gone      bool // drained or removed: nothing new goes there
+	goneAt    decide.Time
+	waitUntil decide.Time // told to wait
+	answerAt  decide.Time // when it last answered at all
+	home      *home
+	calls     map[*call]bool
 }
 
 // suspect books how a call went and reports whether the endpoint's idle
@@ -223,13 +224,14 @@
 // have run. It reports whether the connection can carry another call.
 func readAnswer(conn *poolConn, req *http.Request, loads []string, tell func(outcome)) (keep bool) {
 	status, err := 0, error(nil)
+	stop := func() bool { return true }
+	defer func() { stop() }()
 	begun := false
 	for hints := 0; ; hints++ {
 		var line string
-		if _, err = conn.in.Peek(1); err == nil && !begun {
+		if _, err = conn.in.Peek(1); err == nil {
 			begun = true
-			stop := conn.bound(answerWait)
-			defer stop()
+			stop = conn.bound(answerWait)
 		}
 		if line, err = firstLine(conn.in); err == nil {
 			status, err = statusOf(line)
@@ -248,10 +250,12 @@
 		if status >= 200 {
 			break
 		}
-		if err := skipHead(conn.in); err != nil {
+		// The answer itself may come much later than what is ahead of it.
+		if err := skipHead(conn.in); err != nil || !stop() {
 			tell(outcome{what: decide.Errored, spoilt: true, err: err})
 			return false
 		}
+		begun = false
 	}
 	if status == http.StatusOK {
 		tell(outcome{what: decide.Delivered, settled: true, status: status})
--- a/internal/relay/pool_test.go
+++ b/internal/relay/pool_test.go
@@ -116,6 +116,34 @@
 	close(release)
 }
 
+// Guards an answer that is long in coming behind one that is ahead of it: only
+// what has begun must come quickly.
+func TestHintLongBeforeTheAnswer(t *testing.T) {
+	release := make(chan struct{})
+	h := testPool(t).home(rawEndpoint(t, func(c net.Conn) {
+		if readCall(bufio.NewReader(c)) {
+			io.WriteString(c, "HTTP/1.1 102 P\r\n\r\n")
+			<-release
+			io.WriteString(c, fine)
+		}
+	}))
+	told, over := make(chan outcome, 1), make(chan struct{})
+	go func() {
+		defer close(over)
+		newTestCall().run(h, &record{ID: "m"}, testLimit, nil, func(o outcome) { told <- o })
+	}()
+	select {
+	case o := <-told:
+		t.Fatalf("before the answer: %+v", o)
+	case <-time.After(2 * answerWait):
+	}
+	close(release)
+	if o := <-told; o.what != decide.Delivered {
+		t.Errorf("got %+v", o)
+	}
+	<-over
+}
+
 // Guards each answer against what came behind the one before: a second copy
 // or noise must not pass for the next call's answer, whether it is there when
 // the connection is put back, while it is idle, or only when the call is
