--- /dev/null
+++ b/internal/relay/growth_test.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"troutusher/decide"
+)
+
+// testRelay is a loop without its sockets; its clock is moved by hand.
+func testRelay(t *testing.T) *Relay {
+	t.Helper()
+	cfg := testSet(t)
+	policy, err := decide.New(cfg.Policy, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &Relay{cfg: cfg, log: quietLog(), policy: policy, in: newMailbox[happening](), began: time.Now(),
+		msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
+		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, named: map[int]bool{},
+		pool: newPool(time.Second, time.Second, 8)}
+}
+
+// Guards against destinations that do not exist: each would be held in vain,
+// and kept by the policy for good. One whose endpoints have all gone for now
+// is known, and where no list was ever heard nothing can be said.
+func TestUnknownDestinations(t *testing.T) {
+	r := testRelay(t)
+	put := func(id string, dest int) string {
+		q := &request{rec: &record{ID: id, Class: "plain", Dest: dest, Deadline: time.Now().Add(time.Minute).UnixMicro()}, reply: make(chan string, 1)}
+		r.admit(q)
+		select {
+		case s := <-q.reply:
+			return s
+		default:
+			return "held"
+		}
+	}
+	if s := put("early", 5); s != "held" {
+		t.Errorf("before any list: %q", s)
+	}
+	m := Member{ID: "s-1", HostPort: "127.0.0.1:7000", Cell: 1, Phase: phaseUp, Size: 5}
+	r.list(&List{Complete: true, Members: []Member{m}}, decide.ListFull)
+	m.Phase = phaseRemoved
+	r.list(&List{Members: []Member{m}}, decide.ListChange)
+	if s := put("known", 1); s != "held" {
+		t.Errorf("gone for now: %q", s)
+	}
+	held := r.held
+	for i := range 1000 {
+		if s := put(fmt.Sprint("m", i), 2+i); !strings.HasPrefix(s, "-ERR ") {
+			t.Fatalf("unknown: %q", s)
+		}
+	}
+	if r.held != held || len(r.ids) != held {
+		t.Errorf("%d held, want %d", r.held, held)
+	}
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -74,6 +74,7 @@
 	waiting   map[*request]*message // whose clients have no answer yet
 	endpoints map[string]*endpoint
 	byNum     map[decide.Endpoint]*endpoint
+	named     map[int]bool // destinations that a list has named
 	events    []decide.Event
 	actions   []decide.Action
 	timers    timers
@@ -104,7 +105,7 @@
 	defer cancel()
 	r := &Relay{cfg: cfg, log: log, policy: policy, in: newMailbox[happening](), began: time.Now(), ctx: ctx,
 		msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*request]*message{},
-		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}}
+		endpoints: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, named: map[int]bool{}}
 	_, conns := cfg.budget()
 	keep := time.Duration(cfg.Policy.KeepAlive) * time.Microsecond
 	// A request written to a connection that the endpoint is closing ends as a
@@ -198,6 +199,7 @@
 		}
 		e := decide.Event{Kind: decide.EvMessage, Message: m.num, Class: class, Dest: rec.Dest, Tenant: -1,
 			Left: r.fromWall(rec.Deadline) - r.now(), Tries: rec.Tries, DoubtIn: rec.DoubtIn}
+		r.named[rec.Dest] = true // once, or it would not have been taken on
 		if t, ok := r.cfg.tenants[rec.Tenant]; ok {
 			e.Tenant = t
 		}
@@ -323,6 +325,11 @@
 	case old != nil:
 		q.answer(fault(errors.New("id is being handed in already")))
 		return
+	case len(r.named) > 0 && !r.named[q.rec.Dest]:
+		// It would be held for nothing, and the policy keeps each destination
+		// for good. One whose endpoints are only gone for now has been named.
+		q.answer(fault(fmt.Errorf("dest: no list names %d", q.rec.Dest)))
+		return
 	case r.cfg.Policy.MaxHeld > 0 && r.held >= r.cfg.Policy.MaxHeld:
 		q.answer(busy(0))
 		return
@@ -434,6 +441,9 @@
 	if x.Phase == phaseUp && (ep.home == nil || ep.gone) {
 		ep.home = r.pool.home(ep.hostPort)
 	}
+	if x.Phase != phaseRemoved {
+		r.named[x.Cell] = true
+	}
 	entry := decide.Entry{Endpoint: ep.num, Zone: place(r.cfg.zones, x.Locality), Kind: place(r.cfg.kinds, x.Flavor),
 		Dest: x.Cell, State: decide.Ready, Rate: x.Size}
 	ep.zone = entry.Zone
