--- a/decide/decide.go
+++ b/decide/decide.go
@@ -130,6 +130,12 @@
 	l := ep.lane
 	if p.eps[ep.id] == ep && (!l.dest.kind.Apart || l.waitUntil <= p.now) {
 		delete(p.eps, ep.id)
+	} else if p.eps[ep.id] == ep {
+		p.later.add(l.waitUntil, func() {
+			if p.eps[ep.id] == ep && ep.state == Gone {
+				p.leave(ep)
+			}
+		})
 	}
 	l.eps = slices.DeleteFunc(l.eps, func(x *endpoint) bool { return x == ep })
 	if l.dest.kind.Apart {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -591,6 +591,37 @@
 	}
 }
 
+// TestGrowth: ids, messages and waits of what has gone leave nothing behind.
+func TestGrowth(t *testing.T) {
+	s := one()
+	s.Kinds = []Kind{{Apart: true, Batch: 1}}
+	r := newRig(t, s, ready(1, 5))
+	kept := func() int {
+		return len(r.p.eps) + len(r.p.msgs) + len(r.p.live) + len(r.p.later.items) + len(r.p.dests[0].lanes)
+	}
+	after := 0
+	for i := range 3000 {
+		acts := r.step(r.message(0, 0))
+		for _, a := range acts {
+			if a.Kind == ActSend {
+				e := answer(a, Full)
+				e.Wait = second
+				r.step(e, Event{Kind: EvWithdraw, Message: a.Message})
+			}
+		}
+		x := ready(Endpoint(i+2), 5)
+		r.step(Event{Kind: EvList, Entries: []Entry{{Endpoint: Endpoint(i + 1), State: Gone}, x}})
+		r.now += second
+		r.step()
+		if i == 300 {
+			after = kept()
+		}
+	}
+	if n := kept(); n > 2*after {
+		t.Errorf("%d things kept after 3000 rounds, %d after 300", n, after)
+	}
+}
+
 // TestFleetBudget: after an outage that every relay has seen, all relays together stay inside the budget of a
 // cold destination, for two relays and for hundreds.
 func TestFleetBudget(t *testing.T) {
--- a/internal/relay/growth_test.go
+++ b/internal/relay/growth_test.go
@@ -23,6 +23,43 @@
 		pool: newPool(time.Second, time.Second, 8)}
 }
 
+// Guards the memory on a long day: endpoints come under ever new ids, also at
+// the address of one that has gone, and what has gone is forgotten. A new id
+// inherits nothing there; one that is told to wait keeps that while it is away.
+func TestReplacedEndpointsAreForgotten(t *testing.T) {
+	r := testRelay(t)
+	up := func(i int) Member {
+		return Member{ID: fmt.Sprintf("s-%d", i), HostPort: fmt.Sprintf("127.0.0.1:%d", 7000+i%3), Cell: i % 3, Phase: phaseUp, Size: 5}
+	}
+	r.list(&List{Complete: true, Members: []Member{up(0), up(1), up(2)}}, decide.ListFull)
+	r.step()
+	waits := r.endpoints["s-1"]
+	waits.waitUntil = r.now() + decide.Time(1800e6)
+	most := 0
+	for i := 3; i < 3000; i++ {
+		old := r.endpoints[up(i-3).ID]
+		leaves := up(i - 3)
+		leaves.Phase = phaseRemoved
+		r.list(&List{Members: []Member{leaves, up(i)}}, decide.ListChange)
+		r.step()
+		fresh := r.endpoints[up(i).ID]
+		if fresh.home == old.home || fresh.num == old.num || !old.home.closed {
+			t.Fatalf("%s inherits from %s", fresh.id, old.id)
+		}
+		r.began = r.began.Add(-time.Second)
+		most = max(most, len(r.endpoints))
+	}
+	if most > 20 || len(r.byNum) != len(r.endpoints) {
+		t.Errorf("%d endpoints kept, %d by number", most, len(r.byNum))
+	}
+	if len(r.named) != 3 {
+		t.Errorf("%d destinations named", len(r.named))
+	}
+	if r.endpoints["s-1"] != nil {
+		t.Error("kept though its wait is over")
+	}
+}
+
 // Guards against destinations that do not exist: each would be held in vain,
 // and kept by the policy for good. One whose endpoints have all gone for now
 // is known, and where no list was ever heard nothing can be said.
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -22,7 +22,7 @@
 	stopCalls  = 3300 * time.Millisecond // what is out by then stays open in the log
 	stopRetry  = 400                     // ms after which a client may come again, to another relay
 	firstList  = 1500 * time.Millisecond // how long the start waits for discovery
-	forgetGone = decide.Time(600e6)      // how long an endpoint that left is remembered
+	forgetGone = decide.Time(10e6)       // how long an endpoint that left is remembered
 	clockStart = decide.Time(3600e6)     // of the policy's clock: sends of an earlier process lie before it
 )
 
@@ -419,7 +419,7 @@
 	}
 	r.events = append(r.events, e)
 	for id, ep := range r.endpoints { // the list's comings and goings must not fill the memory
-		if ep.gone && len(ep.calls) == 0 && r.now()-ep.goneAt > forgetGone {
+		if ep.gone && len(ep.calls) == 0 && r.now() > max(ep.goneAt+forgetGone, ep.waitUntil) && !seen[id] {
 			delete(r.endpoints, id)
 			delete(r.byNum, ep.num)
 		}
@@ -654,6 +654,9 @@
 		Slots: o.slots, Settled: o.settled || m.over, Took: o.took, Load: o.load}
 	if c.ep != nil {
 		e.Endpoint = c.ep.num
+		if o.wait > 0 { // it binds under this id also if it leaves and comes back
+			c.ep.waitUntil = max(c.ep.waitUntil, r.now()+o.wait)
+		}
 		delete(c.ep.calls, c)
 	}
 	if m.call == c {
