Console for operators: READY, STATS, DRAIN and UNDRAIN beside the loop

Ruled out: the relay's load (2 of 25 cores busy, nothing late) and places for clients, which were never short.

Design: package console holds the socket, the bounds and the figures' form; package duty is a state machine of what the process does for clients (starting, serving, draining, ceding, ceded, stopping), with one stated result for each call in each state. A drain goes straight to the front, and figures are put up by the loop in atomics that callers read. Rejected: calls as events of the core, since a caller would then wait behind traffic in the loop's mailbox; and a second count beside the core, since the two would drift. Ends are counted in the core where they become certain, sends where a call's last byte is written, avoided endpoints are what decide avoids in its own words.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -169,6 +169,7 @@
 	zone      int
 	hostPort  string
 	open      bool // the driver has a place for its connections
+	listed    bool // the list holds it, draining maybe
 	gone      bool // drained or removed: nothing new goes there
 	goneAt    decide.Time
 	waitUntil decide.Time // told to wait
@@ -210,6 +211,7 @@
 	actions   []decide.Action
 	later     []Event // for the next step
 	timers    timers
+	ends      []Ends // of each class
 	held      int
 	calls     int
 	stopping  bool
@@ -224,9 +226,46 @@
 		return nil, err
 	}
 	return &Core{set: s, policy: policy, msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*Request]*message{},
-		byID: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, named: map[int]bool{}}, nil
+		byID: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, named: map[int]bool{},
+		ends: make([]Ends, len(s.Policy.Classes))}, nil
+}
+
+// Ends are how many messages of a class ended in each way: delivered; refused
+// or handed back, so that to come again does no harm; failed. Each is counted
+// when it is certain: as the answer of the call is heard, as the refusal is
+// given, or as the end is logged and told. One that its client left before it
+// was taken on counts nowhere, and neither does one whose end the endpoint knew
+// (410).
+type Ends struct{ Answered, Deferred, Errored int64 }
+
+// Ends shows the count of each class since the start, in the settings' order.
+func (r *Core) Ends() []Ends { return r.ends }
+
+// Cluster is how many endpoints the list holds, draining ones among them, and
+// how many of these get nothing new now.
+func (r *Core) Cluster() (listed, avoided int) {
+	for _, ep := range r.endpoints {
+		if ep.listed {
+			listed++
+			if ep.gone || r.policy.Avoids(ep.num, r.now) {
+				avoided++
+			}
+		}
+	}
+	return listed, avoided
 }
 
+// count books the end of a message of a class that the settings name.
+func (r *Core) count(class string, what func(*Ends)) {
+	if i, ok := r.set.Classes[class]; ok {
+		what(&r.ends[i])
+	}
+}
+
+func answered(e *Ends) { e.Answered++ }
+func deferred(e *Ends) { e.Deferred++ }
+func errored(e *Ends)  { e.Errored++ }
+
 // Next is the moment at which to step though nothing happens; 0 for none.
 func (r *Core) Next() decide.Time { return r.timers.next() }
 
@@ -309,7 +348,7 @@
 		if !ok { // the settings have changed: nothing is promised of its effect
 			m.over = true
 			r.drop(m)
-			r.end(m, GivenUp, 0)
+			r.end(m, GivenUp, 0) // and it counts nowhere: its class has no figure
 			continue
 		}
 		e := decide.Event{Kind: decide.EvMessage, Message: m.num, Class: class, Dest: rec.Dest, Tenant: -1,
@@ -362,6 +401,7 @@
 			delete(r.waiting, e.Request)
 			r.withdraw(m)
 		}
+		r.count(e.Request.Rec.Class, deferred)
 		r.answer(e.Request, Reply{})
 	case News:
 		r.list(e.List, e.News)
@@ -387,6 +427,7 @@
 func (r *Core) admit(q *Request) {
 	switch old := r.ids[q.Rec.ID]; {
 	case r.stopping:
+		r.count(q.Rec.Class, deferred)
 		r.answer(q, Reply{Busy: stopRetry})
 		return
 	case old != nil && old.heard: // it is ours already
@@ -398,9 +439,11 @@
 	case len(r.named) > 0 && !r.named[q.Rec.Dest]:
 		// It would be held for nothing, and the policy keeps each destination
 		// for good. One whose endpoints are only gone for now has been named.
+		r.count(q.Rec.Class, errored)
 		r.answer(q, Reply{Fault: fmt.Errorf("dest: no list names %d", q.Rec.Dest)})
 		return
 	case r.set.Policy.MaxHeld > 0 && r.held >= r.set.Policy.MaxHeld:
+		r.count(q.Rec.Class, deferred)
 		r.answer(q, Reply{})
 		return
 	}
@@ -474,6 +517,7 @@
 	if kind != decide.ListChange {
 		for _, ep := range r.endpoints {
 			if !seen[ep.id] {
+				ep.listed = false
 				r.leave(ep)
 			}
 		}
@@ -513,6 +557,7 @@
 	entry := decide.Entry{Endpoint: ep.num, Zone: place(r.set.Zones, x.Locality), Kind: place(r.set.Kinds, x.Flavor),
 		Dest: x.Cell, State: decide.Ready, Rate: x.Size}
 	ep.zone = entry.Zone
+	ep.listed = x.Phase != Removed
 	switch x.Phase {
 	case Up:
 		ep.gone = false
@@ -590,6 +635,11 @@
 	}
 	m.over = true
 	ms := (a.After + 999) / 1000
+	if word == HandedBack {
+		r.count(m.rec.Class, deferred)
+	} else {
+		r.count(m.rec.Class, errored)
+	}
 	if q := m.req; q != nil { // not taken on: the client hears it at once
 		m.req = nil
 		delete(r.waiting, q)
@@ -712,6 +762,9 @@
 		r.log(&Record{Kind: Outcome, ID: m.rec.ID, Ran: !o.What.NeverRan()})
 	}
 	if o.Settled && !m.over {
+		if o.What == decide.Delivered {
+			r.count(m.rec.Class, answered)
+		}
 		m.over = true
 		r.drop(m)
 		return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -266,6 +266,9 @@
 // others after its answer.
 func (f *Front) CloseIdle() { f.do(func() { f.book.Stop(f.now()) }) }
 
+// KeepIdle ends what CloseIdle began.
+func (f *Front) KeepIdle() { f.do(func() { f.book.Resume() }) }
+
 // CloseListeners ends the accepting of connections.
 func (f *Front) CloseListeners() {
 	f.do(func() {
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -138,7 +138,7 @@
 	RuleOnce
 	// RuleIdle: its place is needed and it is idle for longest; the same.
 	RuleIdle
-	// RuleStop: the relay ends; the same.
+	// RuleStop: the relay ends or is drained; the same.
 	RuleStop
 	rules
 )
@@ -485,8 +485,11 @@
 	b.free = append(b.free, id)
 }
 
+// Resume has connections kept again; those let go by then still leave.
+func (b *Book) Resume() { b.stopping = false }
+
 // Stop lets go of all that have nothing under way, and of the others after
-// their answers.
+// their answers, until Resume.
 func (b *Book) Stop(now Time) {
 	b.stopping = true
 	for _, s := range []Stage{Silent, Once, Idle} {
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -35,7 +35,10 @@
 // Said is told that the answer was written, or that its client is gone.
 func (q *request) Said(ok bool) { q.said(q, ok) }
 
-const replyOK = "+OK\r\n"
+const (
+	replyOK      = "+OK\r\n"
+	replyDrained = "-DRAINING no new connections here for now\r\n"
+)
 
 func busy(ms int64) string { return front.Busy(ms) }
 
@@ -123,7 +126,9 @@
 type clients struct {
 	cfg   *Config
 	front *front.Front
-	put   func(*request)            // hands it to the loop, which answers
+	put   func(*request) // hands it to the loop, which answers
+	duty  *duties
+	late  func(class int)           // a request was refused before the loop saw it
 	said  func(q *request, ok bool) // the answer was written, or its client is gone
 }
 
@@ -140,6 +145,9 @@
 func (c *clients) command(a *front.Asked) front.Reply {
 	switch name := string(bytes.ToUpper(a.Args[0])); name {
 	case "PING":
+		if c.duty != nil && !c.duty.clients.Load() {
+			return front.Reply{Text: replyDrained, What: places.Useful}
+		}
 		if len(a.Args) > 1 {
 			p := a.Args[1]
 			return front.Reply{Text: "$" + strconv.Itoa(len(p)) + "\r\n" + string(p) + "\r\n", What: places.Useful}
@@ -151,6 +159,9 @@
 			return front.Reply{Text: fault(err)}
 		}
 		if a.Refuse {
+			if c.late != nil {
+				c.late(q.Class)
+			}
 			return front.Reply{Text: busy(max(a.ComeBack.Milliseconds(), 1)), What: places.Request}
 		}
 		t := a.Ticket
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -31,6 +31,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Console   string // where operators call; empty for nowhere
 	State     string // the folder that outlasts the process
 	Seed      uint64
 	Limits    Limits
@@ -124,6 +125,7 @@
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
+		Console   string          `json:"console"`
 		State     string          `json:"state"`
 		Seed      json.RawMessage `json:"seed"`
 		Limits    Limits          `json:"limits"`
@@ -137,7 +139,7 @@
 		}
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, State: f.State, Limits: f.Limits, Known: f.Known}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Console: f.Console, State: f.State, Limits: f.Limits, Known: f.Known}
 	for _, v := range []struct {
 		env, key string
 		to       *string
@@ -155,6 +157,14 @@
 			return nil, fmt.Errorf("config: %s: %w", key, err)
 		}
 	}
+	if s := getenv("ROUTER_CONSOLE"); s != "" {
+		c.Console = s
+	}
+	if c.Console != "" {
+		if _, _, err := net.SplitHostPort(c.Console); err != nil {
+			return nil, fmt.Errorf("config: console: %w", err)
+		}
+	}
 	var err error
 	if c.Seed, err = parseSeed(f.Seed); err != nil {
 		return nil, fmt.Errorf("config: seed: %w", err)
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -47,6 +47,7 @@
 type call struct {
 	stage   atomic.Int32
 	leaving atomic.Bool // its endpoint drains
+	written func()      // told once its last byte is written; may be nil
 	ctx     context.Context
 	stop    context.CancelCauseFunc
 }
@@ -121,6 +122,9 @@
 		end(what, err)
 		return
 	}
+	if c.written != nil {
+		c.written()
+	}
 	unwatch := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
 	told := false
 	keep := readAnswer(conn, req, loads, func(o outcome) {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"troutusher/decide"
+	"troutusher/internal/console"
 	"troutusher/internal/core"
 	"troutusher/internal/front"
 )
@@ -35,6 +36,9 @@
 	notices   *notices
 	discovery *discovery
 	agent     string // the address that both of them use
+	duty      *duties
+	board     *console.Board
+	seen      time.Time // when the endpoints avoided were last counted
 	began     time.Time
 	homes     map[decide.Endpoint]*home
 	events    []core.Event
@@ -50,7 +54,16 @@
 func Run(cfg *Config, log *slog.Logger, stop <-chan struct{}, re Reload) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	r := &Relay{cfg: cfg, log: log, in: newMailbox[happening](), began: time.Now(), ctx: ctx, homes: map[decide.Endpoint]*home{}}
+	r := &Relay{cfg: cfg, log: log, in: newMailbox[happening](), began: time.Now(), ctx: ctx, homes: map[decide.Endpoint]*home{},
+		duty: &duties{}, board: console.NewBoard(classNames(cfg))}
+	if cfg.Console != "" { // it answers from the first moment on
+		con, err := console.Listen(cfg.Console, r.calls(), log)
+		if err != nil {
+			return err
+		}
+		defer con.Close()
+		go con.Serve()
+	}
 	var err error
 	r.core, err = core.New(core.Settings{Policy: cfg.Policy, Seed: cfg.Seed, Epoch: r.began.UnixMicro() - clockStart,
 		Zones: cfg.zones, Kinds: cfg.kinds, Classes: cfg.classes, Tenants: cfg.tenants})
@@ -91,6 +104,7 @@
 	if err != nil {
 		return err
 	}
+	cl.duty, cl.late = r.duty, r.board.Late
 	failed := make(chan error, 1)
 	go func() { failed <- cl.front.Run() }()
 	defer cl.front.Close()
@@ -98,6 +112,7 @@
 		<-stop
 		r.tell(core.Event{Kind: core.Stop})
 	}()
+	r.duty.open(cl.front)
 	log.Info("ready", "name", cfg.Name, "listen", cl.front.Addr().String(), "endpoints", r.core.Endpoints(), "owed", len(owed))
 	return r.loop(cl.front, failed)
 }
@@ -163,6 +178,9 @@
 		if _, stopping := r.core.Stopping(0); stopping {
 			wait = min(wait, 20*time.Millisecond)
 		}
+		if r.cfg.Console != "" {
+			wait = min(wait, boardWait)
+		}
 		timer.Reset(max(wait, 0))
 		select {
 		case <-r.in.ready:
@@ -186,7 +204,7 @@
 		}
 		if !told {
 			told = true
-			cl.CloseIdle()
+			r.duty.stop()
 		}
 		if listening && gone >= core.StopListen {
 			listening = false
@@ -204,6 +222,7 @@
 func (r *Relay) step() {
 	r.carryOut(r.core.Step(r.now(), r.events, r.effects[:0]))
 	clear(r.events)
+	r.show()
 }
 
 // carryOut does what the core says, in its order.
@@ -283,7 +302,7 @@
 // send logs an attempt and then makes it.
 func (r *Relay) send(rec *record, out *core.Call) {
 	ctx, stop := context.WithCancelCause(r.ctx)
-	c := &call{ctx: ctx, stop: stop}
+	c := &call{ctx: ctx, stop: stop, written: func() { r.board.Sends.Add(1) }}
 	out.Handle = c
 	h, limit := r.homes[out.Endpoint], time.Duration(out.Limit)*time.Microsecond
 	r.wal.submit(rec, func(err error) {
--- /dev/null
+++ b/internal/relay/operate.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"troutusher/internal/console"
+	"troutusher/internal/duty"
+	"troutusher/internal/front"
+)
+
+// What operators call and see. Nothing here waits for the loop: a drain goes
+// straight to the front, and figures are read where the loop put them.
+
+// boardWait is how old the figures of endpoints may be. The others are put up
+// with each step.
+const boardWait = 200 * time.Millisecond
+
+// duties is the duty of this process, for several goroutines.
+type duties struct {
+	mu      sync.Mutex
+	m       duty.Machine
+	front   *front.Front
+	clients atomic.Bool // new clients are wanted
+}
+
+// move makes one move and carries out what it asks for.
+func (d *duties) move(f func(m *duty.Machine) (duty.Answer, duty.Do)) (bool, string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a, do := f(&d.m)
+	d.clients.Store(d.m.Clients())
+	switch {
+	case d.front == nil:
+	case do == duty.LetGo:
+		d.front.CloseIdle()
+	case do == duty.TakeBack:
+		d.front.KeepIdle()
+	}
+	return a.Yes, a.Why
+}
+
+// open is told when clients can be served.
+func (d *duties) open(f *front.Front) {
+	d.move(func(m *duty.Machine) (duty.Answer, duty.Do) {
+		d.front = f
+		return duty.Answer{}, m.Serve()
+	})
+}
+
+func (d *duties) stop() {
+	d.move(func(m *duty.Machine) (duty.Answer, duty.Do) { return duty.Answer{}, m.Stop() })
+}
+
+// calls are what the console may call.
+func (r *Relay) calls() console.Calls {
+	told := func(what string, f func(m *duty.Machine) (duty.Answer, duty.Do)) func() (bool, string) {
+		return func() (bool, string) {
+			yes, why := r.duty.move(f)
+			r.log.Log(r.ctx, slog.LevelInfo, "console", "call", what, "yes", yes, "why", why)
+			return yes, why
+		}
+	}
+	return console.Calls{
+		Ready: func() (bool, string) {
+			return r.duty.move(func(m *duty.Machine) (duty.Answer, duty.Do) { return m.Ready(), duty.Nothing })
+		},
+		Drain:   told("drain", (*duty.Machine).Drain),
+		Undrain: told("undrain", (*duty.Machine).Undrain),
+		Stats:   r.board.Append,
+	}
+}
+
+// show puts up what the core has counted.
+func (r *Relay) show() {
+	for i, e := range r.core.Ends() {
+		r.board.Show(i, console.Ends(e))
+	}
+	r.board.Current.Store(int64(r.core.Held()))
+	if now := time.Now(); now.Sub(r.seen) >= boardWait {
+		r.seen = now
+		listed, avoided := r.core.Cluster()
+		r.board.Listed.Store(int64(listed))
+		r.board.Avoided.Store(int64(avoided))
+	}
+}
+
+func classNames(cfg *Config) []string {
+	names := make([]string, len(cfg.Policy.Classes))
+	for name, i := range cfg.classes {
+		names[i] = name
+	}
+	return names
+}
--- /dev/null
+++ b/internal/relay/operate_test.go
@@ -0,0 +1,255 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// call calls a console once.
+func callConsole(addr, line string) (string, error) {
+	conn, err := net.DialTimeout("tcp", addr, 5*time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.WriteString(conn, line+"\n"); err != nil {
+		return "", err
+	}
+	text, err := io.ReadAll(conn)
+	return string(text), err
+}
+
+func mustCall(t *testing.T, addr, line string) string {
+	t.Helper()
+	s, err := callConsole(addr, line)
+	if err != nil {
+		t.Fatalf("%s: %v", line, err)
+	}
+	return s
+}
+
+// figures reads what STATS shows.
+func figures(t *testing.T, addr string) map[string]int64 {
+	t.Helper()
+	text := mustCall(t, addr, "STATS")
+	body, ok := strings.CutSuffix(text, "END\n")
+	if !ok {
+		t.Fatalf("no END: %q", text)
+	}
+	got := map[string]int64{}
+	for line := range strings.Lines(body) {
+		name, rest, _ := strings.Cut(strings.TrimPrefix(strings.TrimSpace(line), "edge_router."), ":")
+		value, kind, _ := strings.Cut(rest, "|")
+		n, err := strconv.ParseInt(value, 10, 64)
+		if err != nil || kind != "c" && kind != "g" {
+			t.Fatalf("figure %q", line)
+		}
+		got[name] = n
+	}
+	return got
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// A drained relay says no to PING on every connection, serves what still comes
+// on those that are open, lets them go, and serves again once the drain ends;
+// any number of times.
+func TestDrainAndBack(t *testing.T) {
+	ep := newFakeEndpoint(t, status(http.StatusOK))
+	d := newFakeDiscovery(t, ep.member("e1", 1))
+	env := testConfig(t, d, 3)
+	env["ROUTER_CONSOLE"] = freeAddr(t)
+	startChild(t, env)
+	console := env["ROUTER_CONSOLE"]
+	if got := mustCall(t, console, "READY"); got != "YES serving\n" {
+		t.Fatalf("READY: %q", got)
+	}
+	for round := range 3 {
+		idle := dialClient(t, env["ROUTER_LISTEN"])
+		if got := idle.put(fmt.Sprintf("before-%d", round), fields("plain", 8000, 1), nil); got != "+OK" {
+			t.Fatalf("before: %q", got)
+		}
+		half := dialClient(t, env["ROUTER_LISTEN"])
+		text := putText(fmt.Sprintf("half-%d", round), fields("plain", 8000, 1), nil)
+		io.WriteString(half, text[:30])
+		if got := mustCall(t, console, "DRAIN"); got != "YES draining\n" {
+			t.Fatalf("DRAIN: %q", got)
+		}
+		if _, err := idle.in.ReadByte(); err != io.EOF {
+			t.Errorf("an idle connection: %v, want its end", err)
+		}
+		c := dialClient(t, env["ROUTER_LISTEN"])
+		io.WriteString(c, "*1\r\n$4\r\nPING\r\n")
+		if got := c.line(); got == "+PONG" {
+			t.Errorf("PING while drained: %q", got)
+		}
+		if _, err := c.in.ReadByte(); err != io.EOF {
+			t.Errorf("a connection after its answer: %v, want its end", err)
+		}
+		io.WriteString(half, text[30:])
+		if got := half.line(); got != "+OK" {
+			t.Errorf("a hand-in begun before the drain: %q", got)
+		}
+		if _, err := half.in.ReadByte(); err != io.EOF {
+			t.Errorf("its connection: %v, want its end", err)
+		}
+		late := dialClient(t, env["ROUTER_LISTEN"])
+		if got := late.put(fmt.Sprintf("late-%d", round), fields("plain", 8000, 1), nil); got != "+OK" {
+			t.Errorf("a hand-in while drained: %q", got)
+		}
+		if got := mustCall(t, console, "UNDRAIN"); got != "YES serving\n" {
+			t.Fatalf("UNDRAIN: %q", got)
+		}
+		again := dialClient(t, env["ROUTER_LISTEN"])
+		for range 2 { // and the connection stays
+			io.WriteString(again, "*1\r\n$4\r\nPING\r\n")
+			if got := again.line(); got != "+PONG" {
+				t.Errorf("PING after the drain: %q", got)
+			}
+		}
+	}
+	waitFor(t, "nine deliveries", func() bool { return figures(t, console)["answered.plain"] == 9 })
+}
+
+// Thousands of messages with every kind of end: the figures agree with what
+// clients heard, what the platform was told and what came to the endpoints,
+// also while the traffic lasts.
+func TestFiguresAgreeWithAnIndependentCount(t *testing.T) {
+	ep := newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request, n int) {
+		id := r.Header.Get("X-Request-ID")
+		switch n, _ := strconv.Atoi(id[strings.LastIndexByte(id, '-')+1:]); {
+		case n%7 == 3:
+			w.WriteHeader(http.StatusInternalServerError)
+		case n%11 == 5:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			w.WriteHeader(http.StatusOK)
+		}
+	})
+	draining := ep.member("e2", 2)
+	draining.Phase = "draining"
+	d := newFakeDiscovery(t, ep.member("e1", 1), draining)
+	env := testConfig(t, d, 3)
+	env["ROUTER_CONSOLE"] = freeAddr(t)
+	startChild(t, env)
+	console := env["ROUTER_CONSOLE"]
+	const clients, each = 8, 250
+	type told struct{ ok, busy, wrong int }
+	counts := make(chan map[string]*told, clients)
+	for c := range clients {
+		conn := dialClient(t, env["ROUTER_LISTEN"])
+		go func() {
+			got := map[string]*told{"plain": {}, "keyed": {}, "once": {}}
+			defer func() { counts <- got }()
+			for i := range each {
+				class, dest := []string{"plain", "keyed", "once"}[i%3], 1
+				if i%50 == 49 {
+					dest = 9 // no list names it
+				}
+				io.WriteString(conn, putText(fmt.Sprintf("%s-%d-%d", class, c, i), fields(class, 300, dest), []byte("x")))
+				line, err := conn.in.ReadString('\n')
+				switch {
+				case err != nil:
+					return
+				case strings.HasPrefix(line, "+OK"):
+					got[class].ok++
+				case strings.HasPrefix(line, "-BUSY"):
+					got[class].busy++
+				default:
+					got[class].wrong++
+					conn.Close()
+					if conn.Conn, err = net.Dial("tcp", env["ROUTER_LISTEN"]); err != nil {
+						return
+					}
+					conn.in.Reset(conn.Conn)
+				}
+			}
+		}()
+	}
+	sum := map[string]*told{"plain": {}, "keyed": {}, "once": {}}
+	last := figures(t, console)
+	for left := clients; left > 0; {
+		select {
+		case got := <-counts:
+			left--
+			for class, g := range got {
+				s := sum[class]
+				s.ok, s.busy, s.wrong = s.ok+g.ok, s.busy+g.busy, s.wrong+g.wrong
+			}
+		default:
+			now := figures(t, console)
+			for name, v := range last { // counters never go back
+				if name != "current" && !strings.HasPrefix(name, "cluster") && now[name] < v {
+					t.Errorf("%s went from %d to %d", name, v, now[name])
+				}
+			}
+			last = now
+		}
+	}
+	waitFor(t, "all to end", func() bool { return figures(t, console)["current"] == 0 })
+	got := figures(t, console)
+	handedBack, givenUp := map[string]int{}, map[string]int{}
+	waitFor(t, "the notices", func() bool {
+		clear(handedBack)
+		clear(givenUp)
+		n := 0
+		d.set(func(d *fakeDiscovery) {
+			for id, x := range d.notices {
+				n++
+				if x.Outcome == "handed_back" {
+					handedBack[id[:strings.IndexByte(id, '-')]]++
+				} else {
+					givenUp[id[:strings.IndexByte(id, '-')]]++
+				}
+			}
+		})
+		ended := 0
+		for class, s := range sum {
+			ended += s.ok - int(got["answered."+class])
+		}
+		return n == ended
+	})
+	total := 0
+	for class, s := range sum {
+		total += s.ok + s.busy + s.wrong
+		if want := s.ok - handedBack[class] - givenUp[class]; got["answered."+class] != int64(want) {
+			t.Errorf("answered.%s: %d, want %d", class, got["answered."+class], want)
+		}
+		if want := s.busy + handedBack[class]; got["deferred."+class] != int64(want) {
+			t.Errorf("deferred.%s: %d, want %d", class, got["deferred."+class], want)
+		}
+		if want := s.wrong + givenUp[class]; got["errored."+class] != int64(want) {
+			t.Errorf("errored.%s: %d, want %d", class, got["errored."+class], want)
+		}
+		if s.ok == 0 || handedBack["plain"]+handedBack["keyed"] == 0 || givenUp["once"] == 0 {
+			t.Errorf("%s: not every kind of end came up: %+v, %v, %v", class, s, handedBack, givenUp)
+		}
+	}
+	if total != clients*each {
+		t.Errorf("%d answers to %d messages", total, clients*each)
+	}
+	ep.mu.Lock()
+	calls := len(ep.calls)
+	ep.mu.Unlock()
+	if got["sends"] != int64(calls) {
+		t.Errorf("sends: %d, and %d calls came", got["sends"], calls)
+	}
+	if got["cluster_size"] != 2 || got["cluster_unhealthy"] < 1 {
+		t.Errorf("cluster_size %d, cluster_unhealthy %d; want 2 with the draining one avoided", got["cluster_size"], got["cluster_unhealthy"])
+	}
+}
