Upgrade: the new process takes over listeners, clients, calls and what was learned

Design: one of the two owns the state folder at each moment, by a lock that the system takes from the dead. The old process brings all to rest (requests answered, log written, calls parked before their answer), sends over a local socket what the log does not have, lets the lock go, and the new one says that it has it before it does anything. A taker that dies before its word leaves the old process as it was; after it, the old process starts anew from the log. Rejected: SO_REUSEPORT with two listening sockets (what waits in the closed one is reset), and two processes that each finish what they took on (two windows, two paces, and waits that the other does not know).

--- a/cmd/troutusher/main.go
+++ b/cmd/troutusher/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math"
 	"os"
@@ -40,7 +41,11 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	re := relay.Reload{Asked: hup, Read: func() (*relay.Config, error) { return relay.ReloadConfig(os.Getenv) }}
-	if err := relay.Run(cfg, log, ctx.Done(), re); err != nil {
+	err = relay.Run(cfg, log, ctx.Done(), re)
+	for errors.Is(err, relay.ErrStartAnew) {
+		err = relay.Run(cfg, log, ctx.Done(), re)
+	}
+	if err != nil {
 		log.Error("ended", "err", err)
 		os.Exit(exitFailed)
 	}
--- a/decide/api.go
+++ b/decide/api.go
@@ -147,7 +147,7 @@
 // Kinds of event, each with the fields of Event that it uses.
 const (
 	EvList     EventKind = iota // news of the list: List, Entries
-	EvMessage                   // a new message: Message, Key, Left, Class, Dest, Tenant, Work, Tries, DoubtAt, DoubtIn
+	EvMessage                   // a new message: Message, Key, Left, Class, Dest, Tenant, Work, Tries, DoubtAt, DoubtIn, Worth, SentAt, SentTo
 	EvBegun                     // an answer has begun to flow: Message, Attempt
 	EvOutcome                   // an attempt is over: Message, Attempt, Endpoint, Outcome, Wait, Slots, Took, Settled, Load
 	EvWithdraw                  // nobody wants the message any more: Message
@@ -238,6 +238,11 @@
 	Tries   int
 	DoubtAt Time
 	DoubtIn int
+	// Of one that another process held, too: its worth where that is not its
+	// class's (0 for that), and the attempt that is out (SentAt 0 for none).
+	Worth  float64
+	SentAt Time
+	SentTo Endpoint
 }
 
 // ActionKind says what an Action asks for.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -189,6 +189,7 @@
 			m.worth *= p.set.OverShareWorth
 		}
 	}
+	m.worth = cmp.Or(e.Worth, m.worth)
 	p.msgs[m.id] = m
 	m.place = len(p.live)
 	p.live = append(p.live, m)
@@ -196,6 +197,9 @@
 	p.resume(m, e)
 	m.dest.queue = append(m.dest.queue, m)
 	p.touch(m.dest)
+	if ep := p.eps[e.SentTo]; ep != nil && e.SentAt > 0 {
+		p.aloftAt(m, ep, e.SentAt)
+	}
 	if c.InOrder && m.key != 0 {
 		l := p.lines[m.key]
 		if l == nil {
--- a/decide/state.go
+++ b/decide/state.go
@@ -155,6 +155,14 @@
 	p.later.add(max(m.doubtAt+m.class.DedupWindow-2*p.set.Tick+1, p.now+1), func() { p.look(m) })
 }
 
+// Worth is what a held message is worth in time; 0 for one that is not held.
+func (p *Policy) Worth(id uint32) float64 {
+	if m := p.msgs[id]; m != nil {
+		return m.worth
+	}
+	return 0
+}
+
 func (p *Policy) logf(format string, args ...any) {
 	p.act(Action{Kind: ActLog, Text: fmt.Sprintf(format, args...)})
 }
--- /dev/null
+++ b/internal/core/carry.go
@@ -0,0 +1,165 @@
+package core
+
+import (
+	"log/slog"
+	"slices"
+
+	"troutusher/decide"
+)
+
+// A core can be carried over into another process. What is held lies in the
+// log, and the other core reads it there; what the log does not have comes as
+// Carried. Until the other has all of it, this one can go on as if nothing had
+// been asked of it.
+
+// Carried is what a core knows beside its log. Moments are those of the
+// exporting core's clock.
+type Carried struct {
+	Members []CarriedMember `json:"members"`
+	Named   []int           `json:"named"`
+	Calls   []CarriedCall   `json:"calls"`
+	Worth   []CarriedWorth  `json:"worth"`
+	Policy  *decide.Memory  `json:"policy"`
+}
+
+// CarriedMember is an endpoint that the list holds, or one that has left and is
+// still bound by a wait or a call.
+type CarriedMember struct {
+	Member
+	Number    decide.Endpoint `json:"number"`
+	WaitUntil decide.Time     `json:"wait_until,omitempty"`
+}
+
+// CarriedCall is a call that is out, whole, and not answered.
+type CarriedCall struct {
+	Message  string      `json:"message"`
+	Endpoint string      `json:"endpoint"` // its id
+	Sent     decide.Time `json:"sent"`
+	Until    decide.Time `json:"until"`
+	call     *Call
+}
+
+// CarriedWorth is what a held message was found worth when it was taken on.
+type CarriedWorth struct {
+	Message string  `json:"message"`
+	Worth   float64 `json:"worth"`
+}
+
+// Call is the exporting core's.
+func (c *CarriedCall) Call() *Call { return c.call }
+
+// Cede has no new call begun, until Thaw. All else goes on.
+func (r *Core) Cede() { r.ceding = true }
+
+// Thaw ends Cede: what was put off meanwhile is sent, where there is still time
+// for it.
+func (r *Core) Thaw(now decide.Time, fx []Effect) []Effect {
+	r.now, r.fx, r.ceding = max(now, r.now), fx, false
+	var put []*message
+	for _, m := range r.msgs {
+		if m.pending != nil && m.heard && !r.shelve(m) {
+			put = append(put, m)
+		}
+	}
+	slices.SortFunc(put, func(a, b *message) int { return int(a.num) - int(b.num) })
+	for _, m := range put {
+		a := m.pending
+		m.pending = nil
+		r.send(m, a)
+	}
+	return r.done()
+}
+
+// Carry shows what another core needs to go on in this one's place. No request
+// may wait for its answer, and no call be on its way to its endpoint.
+func (r *Core) Carry(now decide.Time) *Carried {
+	r.now = max(now, r.now)
+	c := &Carried{Policy: r.policy.Export(r.now)}
+	for _, ep := range r.endpoints {
+		m := CarriedMember{Member: ep.member, Number: ep.num, WaitUntil: ep.waitUntil}
+		switch {
+		case ep.listed && !ep.gone:
+		case ep.listed || ep.waitUntil > r.now || len(ep.calls) > 0:
+			m.Phase = Draining
+		default:
+			continue
+		}
+		c.Members = append(c.Members, m)
+	}
+	for dest := range r.named {
+		c.Named = append(c.Named, dest)
+	}
+	slices.Sort(c.Named)
+	held := make([]*message, 0, len(r.msgs))
+	for _, m := range r.msgs {
+		if !m.over && m.logged {
+			held = append(held, m)
+		}
+	}
+	slices.SortFunc(held, func(a, b *message) int { return int(a.num) - int(b.num) })
+	for _, m := range held {
+		c.Worth = append(c.Worth, CarriedWorth{m.rec.ID, r.policy.Worth(m.num)})
+		if k := m.call; k != nil && k.ep != nil {
+			c.Calls = append(c.Calls, CarriedCall{m.rec.ID, k.ep.id, k.sent, k.sent + k.Limit, k})
+		}
+	}
+	return c
+}
+
+// adopt takes over what another core knew, and returns the calls that it had
+// out and the worths that it had found, by message.
+func (r *Core) adopt(c *Carried, shift decide.Time) (map[string]*CarriedCall, map[string]float64) {
+	l := &List{Complete: true}
+	for i := range c.Members {
+		l.Members = append(l.Members, c.Members[i].Member)
+	}
+	r.list(l, decide.ListCached)
+	for _, dest := range c.Named {
+		r.named[dest] = true
+	}
+	number := map[decide.Endpoint]decide.Endpoint{}
+	for i := range c.Members {
+		m := &c.Members[i]
+		if ep := r.byID[m.ID]; ep != nil {
+			number[m.Number] = ep.num
+			if m.WaitUntil > 0 {
+				ep.waitUntil = max(ep.waitUntil, m.WaitUntil+shift)
+			}
+		}
+	}
+	r.step() // the policy knows the endpoints from here on
+	if p := c.Policy; p != nil {
+		for i := range p.Lanes {
+			eps := p.Lanes[i].Endpoints
+			for j := range eps {
+				eps[j].ID = number[eps[j].ID] // 0 for one that is not known: no endpoint has it
+			}
+		}
+		r.policy.Import(r.now, p, shift)
+	}
+	calls, worth := map[string]*CarriedCall{}, map[string]float64{}
+	for i := range c.Calls {
+		calls[c.Calls[i].Message] = &c.Calls[i]
+	}
+	for _, w := range c.Worth {
+		worth[w.Message] = w.Worth
+	}
+	return calls, worth
+}
+
+// goOn books a call that the other core had out, and has the driver wait for
+// its end.
+func (r *Core) goOn(m *message, k *CarriedCall, shift decide.Time, e *decide.Event) {
+	ep := r.byID[k.Endpoint]
+	if ep == nil {
+		return
+	}
+	sent := k.Sent + shift
+	c := &Call{Rec: m.rec, Endpoint: ep.num, Limit: max(k.Until+shift-r.now, 1), m: m, ep: ep, attempt: m.tries - 1, sent: sent}
+	m.call = c
+	ep.calls = append(ep.calls, c)
+	r.calls++
+	e.SentAt, e.SentTo = max(sent, 1), ep.num
+	r.do(Effect{Kind: GoOn, Call: c})
+	r.tell(slog.LevelInfo, "call goes on", "message", m.rec.ID, "endpoint", ep.num, "left_ms", c.Limit/1000)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,8 +58,12 @@
 	m       *message
 	ep      *endpoint
 	attempt int
+	sent    decide.Time
 }
 
+// Sent is when the call was begun.
+func (c *Call) Sent() decide.Time { return c.sent }
+
 // Result is what became of a call or a probe.
 type Result struct {
 	What    decide.Outcome
@@ -111,6 +115,7 @@
 	LogOnly                             // Record
 	LogThenAnswer                       // Record, Request: the answer is OK, or Lost comes back
 	LogThenSend                         // Record, Call: or Unsent comes back
+	GoOn                                // Call: it is out already, whole; its end is waited for
 	LogThenNotice                       // Record, Notice: which goes out even if it could not be logged
 	Notify                              // Notice, which is logged already
 	Cancel                              // Call
@@ -168,9 +173,10 @@
 	cell      int
 	zone      int
 	hostPort  string
-	open      bool // the driver has a place for its connections
-	listed    bool // the list holds it, draining maybe
-	gone      bool // drained or removed: nothing new goes there
+	open      bool   // the driver has a place for its connections
+	member    Member // as the list last had it
+	listed    bool   // the list holds it, draining maybe
+	gone      bool   // drained or removed: nothing new goes there
 	goneAt    decide.Time
 	waitUntil decide.Time // told to wait
 	answerAt  decide.Time // when it last answered at all
@@ -214,6 +220,7 @@
 	ends      []Ends // of each class
 	held      int
 	calls     int
+	ceding    bool // no new call is begun
 	stopping  bool
 	stopAt    decide.Time
 	fx        []Effect
@@ -332,9 +339,16 @@
 	return r.done()
 }
 
-// Restore takes up what an earlier process left owed, oldest first.
-func (r *Core) Restore(now decide.Time, owed []*Record, fx []Effect) []Effect {
+// Restore takes up what an earlier process left owed, oldest first, and what it
+// handed over beside the log, if it could: its moments lie shift later on this
+// core's clock.
+func (r *Core) Restore(now decide.Time, owed []*Record, carried *Carried, shift decide.Time, fx []Effect) []Effect {
 	r.now, r.fx = max(now, r.now), fx
+	var calls map[string]*CarriedCall
+	var worth map[string]float64
+	if carried != nil {
+		calls, worth = r.adopt(carried, shift)
+	}
 	for _, rec := range owed {
 		m := r.newMessage(rec)
 		m.heard, m.logged, m.tries = true, true, rec.Tries
@@ -354,12 +368,17 @@
 		e := decide.Event{Kind: decide.EvMessage, Message: m.num, Class: class, Dest: rec.Dest, Tenant: -1,
 			Left: r.fromWall(rec.Deadline) - r.now, Tries: rec.Tries, DoubtIn: rec.DoubtIn}
 		r.named[rec.Dest] = true // once, or it would not have been taken on
-		if t, ok := r.set.Tenants[rec.Tenant]; ok {
+		if w, ok := worth[rec.ID]; ok {
+			e.Worth = w // its tenant's share was asked already
+		} else if t, ok := r.set.Tenants[rec.Tenant]; ok {
 			e.Tenant = t
 		}
 		if rec.Doubt != 0 {
 			e.DoubtAt = max(r.fromWall(rec.Doubt), 1)
 		}
+		if k := calls[rec.ID]; k != nil {
+			r.goOn(m, k, shift, &e)
+		}
 		r.events = append(r.events, e)
 		r.tell(slog.LevelInfo, "resumed", "message", rec.ID, "class", rec.Class, "tries", rec.Tries,
 			"may_have_run", rec.Doubt != 0, "left_ms", e.Left/1000)
@@ -379,6 +398,9 @@
 // process will not be there for its end. The policy goes on to hold it to be
 // out; the next process takes the message up from the log.
 func (r *Core) shelve(m *message) bool {
+	if r.ceding {
+		return true
+	}
 	if !r.stopping {
 		return false
 	}
@@ -557,7 +579,9 @@
 	entry := decide.Entry{Endpoint: ep.num, Zone: place(r.set.Zones, x.Locality), Kind: place(r.set.Kinds, x.Flavor),
 		Dest: x.Cell, State: decide.Ready, Rate: x.Size}
 	ep.zone = entry.Zone
-	ep.listed = x.Phase != Removed
+	if ep.listed = x.Phase != Removed; ep.listed {
+		ep.member = *x
+	}
 	switch x.Phase {
 	case Up:
 		ep.gone = false
@@ -724,7 +748,7 @@
 		r.notSent(m, a.Endpoint)
 		return
 	}
-	c := &Call{Rec: m.rec, Endpoint: ep.num, Limit: limit, m: m, ep: ep, attempt: m.tries - 1}
+	c := &Call{Rec: m.rec, Endpoint: ep.num, Limit: limit, m: m, ep: ep, attempt: m.tries - 1, sent: r.now}
 	m.call = c
 	ep.calls = append(ep.calls, c)
 	r.calls++
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -107,10 +107,13 @@
 
 // Cede begins to hand the work to another process; false where that cannot be.
 func (m *Machine) Cede() bool {
-	if m.state != Serving && m.state != Draining && m.state != Stopping {
+	switch m.state {
+	case Serving, Draining:
+		m.state = Ceding
+	case Stopping: // and goes on to, if it comes to nothing
+	default:
 		return false
 	}
-	m.state = Ceding
 	return true
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,6 +50,7 @@
 	lingerWait = 200 * time.Millisecond
 	lingerMost = 256 << 10
 	tick       = 10 * time.Millisecond
+	frozenWait = 20 * time.Millisecond
 	busyMemory = 500 // ms after which one may come again whose command there was no memory for
 )
 
@@ -89,7 +91,10 @@
 	Limits places.Limits
 	Memory int // bytes for commands that are being read or wait for their answer
 	Log    *slog.Logger
-	Handle func(*Asked) Reply // in the front's goroutine: it must not wait
+	// Listeners are used where they have an address that is wanted; the others
+	// are closed.
+	Listeners []net.Listener
+	Handle    func(*Asked) Reply // in the front's goroutine: it must not wait
 }
 
 type mode uint8
@@ -155,7 +160,9 @@
 	listeners []*listener
 	retry     int64 // when to knock again; 0 for not
 	stopped   bool
-	failed    bool // accept failed, and that was told
+	frozen    bool   // nothing is accepted, read or closed
+	quiet     func() // told once a frozen front owes no answer
+	failed    bool   // accept failed, and that was told
 
 	mu      sync.Mutex
 	answers []answer
@@ -199,8 +206,15 @@
 	if f.poll, err = newPoller(); err != nil {
 		return nil, fmt.Errorf("clients: %w", err)
 	}
+	handed := o.Listeners
 	for i, addr := range addrs {
-		if err := f.listen(int32(-1-i), addr); err != nil {
+		listen := func() error { return f.listen(int32(-1-i), addr) }
+		if at := slices.IndexFunc(handed, func(ln net.Listener) bool { return sameAddr(ln, addr) }); at >= 0 {
+			ln := handed[at]
+			handed = slices.Delete(handed, at, at+1)
+			listen = func() error { return f.adoptListener(int32(-1-i), ln) }
+		}
+		if err := listen(); err != nil {
 			for _, l := range f.listeners {
 				l.Close()
 			}
@@ -208,9 +222,18 @@
 			return nil, err
 		}
 	}
+	for _, ln := range handed { // of addresses that are no longer wanted
+		ln.Close()
+	}
 	return f, nil
 }
 
+// sameAddr reports whether a listener is one for an address.
+func sameAddr(ln net.Listener, addr string) bool {
+	a, err := net.ResolveTCPAddr("tcp", addr)
+	return err == nil && a.String() == ln.Addr().String()
+}
+
 // listen opens one listener. Accepted connections inherit its options.
 func (f *Front) listen(slot int32, addr string) error {
 	lc := net.ListenConfig{KeepAlive: -1}
@@ -218,12 +241,22 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	return f.adoptListener(slot, ln)
+}
+
+func (f *Front) adoptListener(slot int32, ln net.Listener) error {
 	l := &listener{Listener: ln, waiting: true}
+	var err error
 	if l.queue, err = syscall.EpollCreate1(syscall.EPOLL_CLOEXEC); err != nil {
 		ln.Close()
 		return os.NewSyscallError("epoll_create1", err)
 	}
-	raw, err := ln.(*net.TCPListener).SyscallConn()
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		l.Close()
+		return fmt.Errorf("listen: %s is no TCP address", ln.Addr())
+	}
+	raw, err := tcp.SyscallConn()
 	if err == nil {
 		err2 := raw.Control(func(fd uintptr) {
 			l.fd = int(fd)
@@ -237,7 +270,7 @@
 	}
 	if err != nil {
 		l.Close()
-		return fmt.Errorf("listen: %s: %w", addr, err)
+		return fmt.Errorf("listen: %s: %w", ln.Addr(), err)
 	}
 	f.listeners = append(f.listeners, l)
 	return nil
@@ -322,6 +355,20 @@
 		if f.stopped {
 			return nil
 		}
+		if f.frozen {
+			if f.still(); f.frozen {
+				events, err := f.poll.wait(time.Now().Add(frozenWait), f.woken.Load)
+				if err != nil && !errors.Is(err, errWoken) {
+					return fmt.Errorf("clients: %w", err)
+				}
+				for i := range events {
+					if events[i].Fd != bellSlot {
+						f.event(f.now(), events[i].Fd, events[i].Events)
+					}
+				}
+			}
+			continue
+		}
 		now := f.now()
 		more := f.book.Advance(now, timersMost)
 		f.carryOut()
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -400,6 +400,48 @@
 	return id
 }
 
+// Kept is what another account needs to know of a connection.
+type Kept struct {
+	Known bool
+	Spoke bool
+	Asked uint32
+	Left  Time // of its time limit
+}
+
+// Keep tells of a connection what another account needs to go on with it.
+func (b *Book) Keep(id ID, now Time) Kept {
+	p := &b.places[id]
+	limit := b.l.Quiet
+	switch {
+	case p.stage == Half && p.spoke:
+		limit = b.l.Whole
+	case !p.spoke:
+		limit = b.l.First
+	}
+	return Kept{p.known, p.spoke, p.asked, max(limit-(now-p.since), b.l.Tick)}
+}
+
+// Adopt books a connection that another account kept. It claims its place like
+// any other: one that is let go for want of room is told by an order.
+func (b *Book) Adopt(k Kept, now Time) ID {
+	id := b.Enter(now)
+	p := &b.places[id]
+	p.known, p.spoke, p.asked = k.Known, k.Spoke, k.Asked
+	if k.Known {
+		b.strangers--
+		stage := Idle
+		if k.Asked == 1 {
+			stage = Once
+		}
+		b.move(id, stage, now)
+	}
+	if k.Asked > 0 {
+		b.asked++
+	}
+	b.wheel.Set(uint32(id), now+max(min(k.Left, max(b.l.First, b.l.Quiet)), b.l.Tick))
+	return id
+}
+
 // Begin is told when the first byte of a command has come.
 func (b *Book) Begin(id ID, now Time) {
 	p := &b.places[id]
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -77,6 +77,7 @@
 	client  *http.Client
 	silence time.Duration
 	news    func(*List) // called in order
+	end     func()      // set where it may be ended before its context
 }
 
 func newDiscovery(addr string, log *slog.Logger, news func(*List)) *discovery {
@@ -208,6 +209,13 @@
 	noticeLong  = 2 * time.Second
 )
 
+// stop ends the watch for good.
+func (d *discovery) stop() {
+	if d.end != nil {
+		d.end()
+	}
+}
+
 // notices sends notices until each has been taken. Repeats are harmless.
 type notices struct {
 	addr   string
@@ -218,8 +226,25 @@
 	in     *mailbox[notice]
 	left   []notice // not confirmed yet
 	taken  func(id string)
+	begin  func() (stop func()) // runs it; set by start
+	halt   func()               // ends that and waits
 }
 
+// start runs it until ctx ends, or pause.
+func (n *notices) start(ctx context.Context) {
+	n.begin = func() func() {
+		here, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() { defer close(done); n.run(here) }()
+		return func() { cancel(); <-done }
+	}
+	n.halt = n.begin()
+}
+
+// pause ends the sending; nothing is confirmed after it returns. resume goes on.
+func (n *notices) pause()  { n.halt() }
+func (n *notices) resume() { n.halt = n.begin() }
+
 func newNotices(addr string, log *slog.Logger, taken func(string)) *notices {
 	return &notices{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(2),
 		in: newMailbox[notice](), taken: taken}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -50,6 +51,12 @@
 	written func()      // told once its last byte is written; may be nil
 	ctx     context.Context
 	stop    context.CancelCauseFunc
+	before  time.Duration // it was out for so long in another process
+
+	mu     sync.Mutex
+	conn   *poolConn // once its last byte is out
+	ceding chan bool // it is to come to rest; then: whether to go on here
+	parked bool
 }
 
 // outcome is what became of a call or a probe.
@@ -119,13 +126,27 @@
 	}
 	conn, what, err := c.send(ctx, h, text.Bytes())
 	if err != nil {
+		if errors.Is(context.Cause(c.ctx), errCeded) {
+			what = decide.NotSent
+		}
 		end(what, err)
 		return
 	}
+	c.sent(conn)
 	if c.written != nil {
 		c.written()
 	}
+	c.answer(ctx, conn, req, began, loads, tell)
+}
+
+// answer waits for the answer to a call that is out.
+func (c *call) answer(ctx context.Context, conn *poolConn, req *http.Request, began time.Time, loads []string, tell func(outcome)) {
 	unwatch := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
+	if !c.begun(ctx, conn) {
+		unwatch()
+		conn.drop()
+		return
+	}
 	told := false
 	keep := readAnswer(conn, req, loads, func(o outcome) {
 		told = true
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -7,12 +7,15 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync"
 	"time"
 
 	"troutusher/decide"
 	"troutusher/internal/console"
 	"troutusher/internal/core"
 	"troutusher/internal/front"
+	"troutusher/internal/takeover"
+	"troutusher/internal/takeover/link"
 )
 
 const (
@@ -24,6 +27,7 @@
 type happening struct {
 	core.Event
 	config *Config // a new one
+	taking *taking // another process is ready to take over
 }
 
 // Relay is one running relay.
@@ -44,17 +48,25 @@
 	events    []core.Event
 	effects   []core.Effect
 	pool      *pool
+	out       outgoing
+	got       []happening
+	taking    *taking
+	taker     takeover.Taker
+	lock      *stateLock
+	passed    map[string]int // calls that the process before had out, by message
+	closeLog  func()
+	stop      <-chan struct{}
 	ctx       context.Context
 }
 
 func (r *Relay) now() decide.Time { return clockStart + time.Since(r.began).Microseconds() }
 
-// Run serves until stop is closed and the end is made, or something fails that
-// a relay cannot go on without.
+// Run serves until stop is closed and the end is made, until another process has
+// taken the work over, or something fails that a relay cannot go on without.
 func Run(cfg *Config, log *slog.Logger, stop <-chan struct{}, re Reload) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	r := &Relay{cfg: cfg, log: log, in: newMailbox[happening](), began: time.Now(), ctx: ctx, homes: map[decide.Endpoint]*home{},
+	r := &Relay{cfg: cfg, log: log, in: newMailbox[happening](), began: time.Now(), ctx: ctx, stop: stop, homes: map[decide.Endpoint]*home{},
 		duty: &duties{}, board: console.NewBoard(classNames(cfg))}
 	if cfg.Console != "" { // it answers from the first moment on
 		con, err := console.Listen(cfg.Console, r.calls(), log)
@@ -76,28 +88,43 @@
 	// reset: ours close first.
 	r.pool = newPool(time.Duration(cfg.Policy.ConnectTimeout)*time.Microsecond, keep-keep/idleMargin, conns)
 	go r.pool.run(ctx)
-	wal, owed, err := openWAL(cfg.State, int64(cfg.Limits.DiskMB)<<20, log)
-	if err != nil {
-		return err
-	}
-	r.wal = wal
-	walStop := make(chan struct{})
-	go wal.run(walStop)
-	defer func() { close(walStop); <-wal.done }()
 	r.notices = newNotices(cfg.Discovery, log, func(id string) {
-		wal.submit(&record{Kind: core.End, ID: id}, nil)
+		r.wal.submit(&record{Kind: core.End, ID: id}, nil)
 	})
-	go r.notices.run(ctx)
+	watch, unwatch := context.WithCancel(ctx)
+	defer unwatch()
 	r.discovery = newDiscovery(cfg.Discovery, log, func(l *List) { r.in.put(happening{Event: news(l)}) })
-	go r.discovery.run(ctx)
+	r.discovery.end = unwatch
+	go r.discovery.run(watch)
 	r.agent = cfg.Discovery
 	go r.follow(ctx, re)
 
-	r.firstList()
-	r.carryOut(r.core.Restore(r.now(), owed, r.effects[:0]))
-	r.step()
+	if r.lock, err = openLock(cfg.State); err != nil {
+		return err
+	}
+	defer r.lock.close()
+	list := sync.OnceValue(r.firstList)
+	inherited, err := r.claim(func() { list() })
+	if err != nil {
+		return err
+	}
 	opt := cfg.frontOptions()
 	opt.Log = log
+	if inherited == nil {
+		inherited = &inheritance{}
+	}
+	defer inherited.close()
+	for i, fd := range inherited.listeners {
+		ln, err := front.Listener(fd)
+		if err != nil {
+			return fmt.Errorf("listen: handed over: %w", err)
+		}
+		inherited.listeners[i] = -1
+		opt.Listeners = append(opt.Listeners, ln)
+	}
+	inherited.listeners = nil
+	// Before the log is touched: who has the address may be a relay that knows
+	// of no lock.
 	cl, err := newClients(cfg, opt, func(q *request) { r.tell(core.Event{Kind: core.Put, Request: &q.Request}) },
 		func(q *request, ok bool) { r.tell(core.Event{Kind: core.Said, Request: &q.Request, OK: ok}) },
 		append([]string{cfg.Listen}, cfg.Operator.Listen...)...)
@@ -105,6 +132,30 @@
 		return err
 	}
 	cl.duty, cl.late = r.duty, r.board.Late
+	r.passed = inherited.calls
+	wal, owed, err := openWAL(cfg.State, int64(cfg.Limits.DiskMB)<<20, func(id string) bool { _, ok := inherited.calls[id]; return ok }, log)
+	if err != nil {
+		return err
+	}
+	r.wal = wal
+	walStop := make(chan struct{})
+	go wal.run(walStop)
+	r.closeLog = sync.OnceFunc(func() { close(walStop); <-wal.done })
+	defer r.closeLog()
+	r.notices.start(ctx)
+	defer func() { r.notices.halt() }()
+
+	known := list()
+	if inherited.Core == nil {
+		r.book(known)
+		r.carryOut(r.core.Restore(r.now(), owed, nil, 0, r.effects[:0]))
+	} else {
+		r.carryOut(r.core.Restore(r.now(), owed, inherited.Core, inherited.Mono-(mono()-r.now()), r.effects[:0]))
+		r.book(known)
+	}
+	r.step()
+	kept := cl.front.Adopt(inherited.conns)
+	inherited.conns = nil
 	failed := make(chan error, 1)
 	go func() { failed <- cl.front.Run() }()
 	defer cl.front.Close()
@@ -113,8 +164,28 @@
 		r.tell(core.Event{Kind: core.Stop})
 	}()
 	r.duty.open(cl.front)
-	log.Info("ready", "name", cfg.Name, "listen", cl.front.Addr().String(), "endpoints", r.core.Endpoints(), "owed", len(owed))
-	return r.loop(cl.front, failed)
+	if inherited.link != nil {
+		r.taker.Step(takeover.Up)
+		if err := inherited.link.Send(pktServing, nil, time.Now().Add(sendWait)); err != nil {
+			log.Warn("hand-over: the process before did not hear that it may end", "err", err)
+		}
+		inherited.link.Close()
+		inherited.link = nil
+	}
+	ln, err := link.Listen(cfg.State)
+	if err != nil { // it serves; only an upgrade will not work
+		log.Error("hand-over: cannot be offered", "err", err)
+	} else {
+		defer ln.Close()
+		go r.offer(ln)
+	}
+	log.Info("ready", "name", cfg.Name, "listen", cl.front.Addr().String(), "endpoints", r.core.Endpoints(), "owed", len(owed),
+		"handed_over", inherited.Core != nil, "clients", kept)
+	err = r.loop(cl, failed)
+	if err == errGiven {
+		return nil
+	}
+	return err
 }
 
 func news(l *List) core.Event {
@@ -127,17 +198,19 @@
 
 func (r *Relay) tell(e core.Event) { r.in.put(happening{Event: e}) }
 
+// book has the core take events in without a decision.
+func (r *Relay) book(events []core.Event) {
+	r.carryOut(r.core.Book(r.now(), events, r.effects[:0]))
+}
+
 // firstList waits a while for the whole list: the one in the configuration may
 // be old, and an endpoint that drained since must not be sent to. Where
 // discovery is silent the old one has to do.
-func (r *Relay) firstList() {
+func (r *Relay) firstList() (lists []core.Event) {
 	limit := time.NewTimer(firstList)
 	defer limit.Stop()
-	book := func(e core.Event) {
-		r.carryOut(r.core.Book(r.now(), []core.Event{e}, r.effects[:0]))
-	}
 	if r.cfg.Known != nil {
-		book(core.Event{Kind: core.News, List: r.cfg.Known, News: decide.ListCached})
+		lists = append(lists, core.Event{Kind: core.News, List: r.cfg.Known, News: decide.ListCached})
 	}
 	var got []happening
 	for heard := false; ; {
@@ -149,27 +222,26 @@
 				case h.config != nil:
 					r.reconfigure(h.config)
 				case h.Kind == core.News:
-					book(h.Event)
+					lists = append(lists, h.Event)
 					heard = true
 				}
 			}
 			if heard {
-				return
+				return lists
 			}
 		case <-limit.C:
-			r.log.Warn("discovery is silent: the list in the configuration is used")
-			return
+			r.log.Warn("discovery is silent: the list that is known is used")
+			return lists
 		}
 	}
 }
 
 // loop is the one goroutine that the core belongs to: it hands over what has
 // happened and carries out what is to be done.
-func (r *Relay) loop(cl *front.Front, failed <-chan error) error {
+func (r *Relay) loop(cl *clients, failed <-chan error) error {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	listening, told := true, false
-	var got []happening
 	for {
 		wait := time.Hour
 		if at := r.core.Next(); at > 0 {
@@ -188,16 +260,13 @@
 		case err := <-failed:
 			return err
 		}
-		got = r.in.takeAll(got)
-		r.events = r.events[:0]
-		for i := range got {
-			if got[i].config != nil {
-				r.reconfigure(got[i].config)
-			} else if got[i].Kind != 0 {
-				r.events = append(r.events, got[i].Event)
+		r.turn()
+		if t := r.taking; t != nil {
+			r.taking = nil
+			if err := r.give(t, cl); err != nil {
+				return err
 			}
 		}
-		r.step()
 		gone, stopping := r.core.Stopping(r.now())
 		if !stopping {
 			continue
@@ -208,7 +277,7 @@
 		}
 		if listening && gone >= core.StopListen {
 			listening = false
-			cl.CloseListeners()
+			cl.front.CloseListeners()
 		}
 		idle := r.core.Waiting() == 0 && r.core.Calls() == 0 && (r.core.Held() == 0 || gone >= core.StopSends)
 		if !listening && idle || gone >= core.StopCalls {
@@ -218,6 +287,23 @@
 	}
 }
 
+// turn hands over what has happened so far.
+func (r *Relay) turn() {
+	r.got = r.in.takeAll(r.got)
+	r.events = r.events[:0]
+	for i := range r.got {
+		switch h := &r.got[i]; {
+		case h.config != nil:
+			r.reconfigure(h.config)
+		case h.taking != nil:
+			r.taking = h.taking // there is one at a time
+		case h.Kind != 0:
+			r.events = append(r.events, h.Event)
+		}
+	}
+	r.step()
+}
+
 // step lets the core decide on what has happened.
 func (r *Relay) step() {
 	r.carryOut(r.core.Step(r.now(), r.events, r.effects[:0]))
@@ -257,6 +343,8 @@
 		r.wal.submit(e.Record, func(error) { r.notices.in.put(n) })
 	case core.Notify:
 		r.notices.in.put(e.Notice)
+	case core.GoOn:
+		r.goOn(e.Call)
 	case core.Cancel:
 		if c, ok := e.Call.Handle.(*call); ok {
 			c.stop(errCancelled)
@@ -299,9 +387,13 @@
 	return busy(a.Busy)
 }
 
+func newCallContext(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	return context.WithCancelCause(ctx)
+}
+
 // send logs an attempt and then makes it.
 func (r *Relay) send(rec *record, out *core.Call) {
-	ctx, stop := context.WithCancelCause(r.ctx)
+	ctx, stop := newCallContext(r.ctx)
 	c := &call{ctx: ctx, stop: stop, written: func() { r.board.Sends.Add(1) }}
 	out.Handle = c
 	h, limit := r.homes[out.Endpoint], time.Duration(out.Limit)*time.Microsecond
@@ -311,8 +403,10 @@
 			r.tell(core.Event{Kind: core.Unsent, Call: out})
 			return
 		}
+		r.out.add(out, c)
 		go func() {
 			defer stop(nil)
+			defer r.out.done(out)
 			c.run(h, out.Rec, limit, r.cfg.loads, func(o outcome) {
 				r.tell(core.Event{Kind: core.Finished, Call: out, Result: o.result()})
 			})
--- a/internal/relay/wal.go
+++ b/internal/relay/wal.go
@@ -109,8 +109,9 @@
 	size int64
 }
 
-// openWAL recovers what the log holds, oldest first, and makes it ready.
-func openWAL(dir string, limit int64, log *slog.Logger) (*wal, []*record, error) {
+// openWAL recovers what the log holds, oldest first, and makes it ready. out
+// names the messages whose attempt is known to be out still; may be nil.
+func openWAL(dir string, limit int64, out func(id string) bool, log *slog.Logger) (*wal, []*record, error) {
 	w := &wal{path: filepath.Join(dir, walName), limit: limit, log: log, live: map[string]*liveRecord{},
 		in: newMailbox[walOp](), done: make(chan struct{})}
 	os.Remove(w.path + ".new") // a compaction that a kill cut short
@@ -119,8 +120,10 @@
 		return nil, nil, fmt.Errorf("log: %w", err)
 	}
 	w.replay(text)
-	for _, l := range w.live {
-		l.rec.Settle()
+	for id, l := range w.live {
+		if out == nil || !out(id) {
+			l.rec.Settle()
+		}
 	}
 	w.size = int64(len(text))
 	if err := w.compact(); err != nil {
@@ -248,6 +251,10 @@
 	for stopping := false; ; {
 		ops = w.in.takeAll(ops)
 		for _, op := range ops {
+			if op.rec == nil { // only the order counts
+				op.then(nil)
+				continue
+			}
 			err := w.append(op.rec)
 			if err != nil && err != errNotOwed {
 				w.log.Error("log: record not written", "kind", op.rec.Kind, "message", op.rec.ID, "err", err)
--- a/internal/relay/wal_test.go
+++ b/internal/relay/wal_test.go
@@ -14,7 +14,7 @@
 
 func openTestWAL(t *testing.T, dir string, limit int64) (*wal, []*record) {
 	t.Helper()
-	w, owed, err := openWAL(dir, limit, quietLog())
+	w, owed, err := openWAL(dir, limit, nil, quietLog())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -199,6 +199,44 @@
 	return r.args[:r.have]
 }
 
+// Pending is the part of a command that has been read, as bytes that bring
+// another reader to the same point. It is false where that cannot be: of an
+// argument that is read past nothing is kept.
+func (r *Reader) Pending() ([]byte, bool) {
+	if !r.Midway() {
+		return nil, true
+	}
+	if r.long {
+		return nil, false
+	}
+	var b []byte
+	if r.n > 0 {
+		b = append(strconv.AppendInt(append(b, '*'), int64(r.n), 10), "\r\n"...)
+	}
+	at := 0
+	arg := func(size int, have []byte) {
+		b = append(strconv.AppendInt(append(b, '$'), int64(size), 10), "\r\n"...)
+		b = append(b, have...)
+	}
+	for _, end := range r.ends[:r.have] {
+		arg(end-at, r.buf[at:end])
+		b = append(b, "\r\n"...)
+		at = end
+	}
+	switch r.at {
+	case inArg:
+		arg(len(r.buf)-at+r.left, r.buf[at:])
+	case atCR, atLF:
+		arg(len(r.buf)-at, r.buf[at:])
+		if r.at == atLF {
+			b = append(b, '\r')
+		}
+	default:
+		b = append(b, r.line[:r.size]...)
+	}
+	return b, true
+}
+
 // Held is how many bytes of commands the reader keeps in memory.
 func (r *Reader) Held() int { return cap(r.buf) }
 
