A relay that ends serves on for 1.6 s; more connections to endpoints; upgrade tests

Ruled out by a look at what holds messages back: windows, paces and pauses held under a tenth of them. Besides, 1,521 connections to endpoints for 3,575 messages: 40 descriptors for 20 endpoints and 29 slots made each call close another one's connection.

Change: after SIGTERM what can go out at once is taken on for up to 1.6 s, then clients are let go, calls begin until 2.4 s (unsafe ones 1.6 s). Endpoints may have twice the slots of connections where that leaves clients three fifths. A command has 2.6 s to come whole, since some are written over 2 s. Rejected: handing back what waits at SIGTERM, since the other relay is saturated by then.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,8 +22,10 @@
 // Figures of a planned end. A relay has 3.7 s from SIGTERM until it is killed.
 const (
 	StopListen = decide.Time(1000e3) // new connections still come for a while
-	stopUnsafe = decide.Time(1200e3) // no unsafe call begins after this: cut short, it would be lost
-	StopSends  = decide.Time(2200e3) // no call at all
+	StopKeep   = decide.Time(1600e3) // clients keep their connections until then at the latest
+	stopTake   = decide.Time(2100e3) // what still comes on them is taken on if it can go out at once
+	stopUnsafe = decide.Time(1600e3) // no unsafe call begins after this: cut short, it would be lost
+	StopSends  = decide.Time(2400e3) // no call at all
 	StopCalls  = decide.Time(3300e3) // what is out by then stays open in the log
 	stopRetry  = 400                 // ms after which a client may come again, to another relay
 	forgetGone = decide.Time(10e6)   // how long an endpoint that left is remembered
@@ -448,7 +450,7 @@
 // step: what the policy ends there is refused with no further ado.
 func (r *Core) admit(q *Request) {
 	switch old := r.ids[q.Rec.ID]; {
-	case r.stopping:
+	case r.stopping && !r.takesStopping(q):
 		r.count(q.Rec.Class, deferred)
 		r.answer(q, Reply{Busy: stopRetry})
 		return
@@ -476,6 +478,27 @@
 		Dest: q.Rec.Dest, Tenant: q.Tenant, Left: r.fromWall(q.Rec.Deadline) - r.now})
 }
 
+// takesStopping: until its process is killed the relay's slots would stand
+// empty, while the other relays carry its part. What can go out at once and be
+// answered by then is still taken on; what would wait for the next process is
+// better handed in elsewhere.
+func (r *Core) takesStopping(q *Request) bool {
+	last := stopTake
+	if r.set.Policy.Classes[q.Class].Repeat == decide.Unsafe {
+		last = StopKeep
+	}
+	return r.now-r.stopAt < last && !r.backlog()
+}
+
+func (r *Core) backlog() bool { return r.held-r.calls >= max(r.set.Policy.Slots/2, 1) }
+
+// KeepsClients reports whether a relay that ends has use for its clients'
+// connections: one that would refuse what comes on them is better without, since
+// a client comes again on the connection that it has.
+func (r *Core) KeepsClients(now decide.Time) bool {
+	return now-r.stopAt < StopKeep && !r.backlog()
+}
+
 // said: the client has its answer, or left before it.
 func (r *Core) said(q *Request, ok bool) {
 	m := r.waiting[q]
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -52,8 +52,10 @@
 		Places: places, Strangers: max(places/2, 1),
 		// Clients hold a third of the descriptors at most for requests. When
 		// they sit on all of these, idle, they open no other and ask nothing.
-		Held:  max(descriptors/3*3/4, 1),
-		First: 2e6, Whole: 2e6, Quiet: 4e6,
+		Held: max(descriptors/3*3/4, 1),
+		// Some write a command over 2 s and are to be served; one that never ends
+		// it is owed an error within 3 s of connecting.
+		First: 2600e3, Whole: 2600e3, Quiet: 4e6,
 		Unread: 20e3, Near: 50e3, Patience: 300e3, Tick: 10e3,
 	}
 }
--- a/internal/rehearse/load/load.go
+++ b/internal/rehearse/load/load.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -65,6 +66,7 @@
 	cfg   Config
 	conns []*pool
 	body  string
+	door  atomic.Int64 // requests that met a connection refused, reset, or closed unread
 
 	mu       sync.Mutex
 	ids      map[string]*hand
@@ -253,6 +255,10 @@
 	linesMost = 512                   // bytes of an answer
 )
 
+// Door is how many requests met a connection that was refused, reset, or closed
+// with the request unread.
+func (d *Driver) Door() int { return int(d.door.Load()) }
+
 // left is how long a message may still be delivered.
 func (d *Driver) left(num int) trace.Time {
 	return d.cfg.Start + d.cfg.Plan.Arrivals[num].At + scenario.Micros(d.messages[num].class.DeadlineMS) - d.cfg.Clock()
@@ -276,6 +282,7 @@
 		}
 		c, kept, err := d.conns[relay].get(d.quit, min(dialWait, time.Duration(left)*time.Microsecond))
 		if err != nil { // nobody is there: the front deals another
+			d.door.Add(1)
 			avoid = relay
 			if !d.sleep(frontWait) {
 				return
@@ -314,6 +321,7 @@
 	written, reply, err := c.ask(limit)
 	if err != nil && kept && !errors.Is(err, errTimeout) {
 		// The relay closed it between two requests; it is sent once more.
+		d.door.Add(1)
 		d.conns[relay].drop(c)
 		fresh, _, derr := d.conns[relay].dial(d.quit, time.Until(limit))
 		if derr == nil {
@@ -337,6 +345,7 @@
 		what := trace.Event{At: now, Kind: trace.GivenUp, ID: h.id, Text: err.Error()}
 		if written && !errors.Is(err, errTimeout) {
 			what.Kind = trace.CutOff
+			d.door.Add(1)
 			if !c.used {
 				what.Status = 1
 			}
--- a/internal/rehearse/report/report.go
+++ b/internal/rehearse/report/report.go
@@ -48,6 +48,7 @@
 	Delivery    Quantiles             `json:"delivery_ms"` // from the planned moment to the delivery
 	Late        Late                  `json:"late_ms"`
 	MemoryKB    []int                 `json:"relay_memory_kb"`
+	Door        int                   `json:"door"` // requests that met a connection refused, reset, or closed unread
 	Seconds     []Second              `json:"seconds"`
 	Faults      []Fault               `json:"faults"`
 	Runs        []float64             `json:"runs"` // service of each run, where it was played several times
@@ -181,7 +182,7 @@
 	p, s := o.Plan, o.Plan.Scenario
 	r := &Report{Format: format, Version: Version, Scenario: s.Name, About: s.About, Seed: p.Seed, Environment: env, Floor: s.Floor,
 		Reasons: []string{}, Crashes: append([]string{}, o.Crashes...), Answers: quantiles(o.Answers), Delivery: quantiles(o.Delivery),
-		Late: Late{ms(o.LateDriver), ms(o.LateWorld), s.LateMS}, MemoryKB: append([]int{}, o.MemoryKB...)}
+		Late: Late{ms(o.LateDriver), ms(o.LateWorld), s.LateMS}, MemoryKB: append([]int{}, o.MemoryKB...), Door: o.Door}
 	for _, c := range s.Classes {
 		r.Classes = append(r.Classes, Group{Name: c.Name})
 	}
--- a/internal/rehearse/scenario/scenario.go
+++ b/internal/rehearse/scenario/scenario.go
@@ -177,6 +177,8 @@
 	ListSilent   = "list_silent"   // discovery says nothing at all
 	RelayKill    = "relay_kill"    // SIGKILL; it is started again after LengthS
 	RelayRestart = "relay_restart" // SIGTERM, and a new start once it has ended
+	Upgrade      = "upgrade"       // a process beside it takes over; with Form one of the two is killed
+	DrainRelay   = "drain_relay"   // DRAIN at its console, and UNDRAIN when it is over
 	Reload       = "reload"        // SIGHUP with a new address of discovery
 
 	// Crowds of Size connections to each relay that are no clients.
@@ -187,6 +189,12 @@
 	FloodFaulty    = "flood_faulty"    // they send what cannot be read
 )
 
+// Forms of an upgrade: which of the processes is killed in its course.
+const (
+	KillOld = "kill_old"
+	KillNew = "kill_new"
+)
+
 type faultShape struct {
 	partner, length, size, share, class, form bool // what it takes
 	sizeMin                                   float64
@@ -211,6 +219,8 @@
 	ListSilent:               {length: true},
 	RelayKill:                {length: true},
 	RelayRestart:             {},
+	Upgrade:                  {form: true},
+	DrainRelay:               {length: true},
 	Reload:                   {},
 	FloodSilent:              {length: true, size: true, sizeMin: 1},
 	FloodReturning:           {length: true, size: true, sizeMin: 1},
@@ -598,7 +608,11 @@
 		} else if !shape.class && f.Class != "" {
 			c.wrong(key+".class", "%s is not about a class", f.Kind)
 		}
-		if shape.form {
+		if f.Kind == Upgrade {
+			if f.Form != "" {
+				c.word(key+".form", f.Form, KillOld, KillNew)
+			}
+		} else if shape.form {
 			c.word(key+".form", f.Form, string(partner.Noise), string(partner.Head), string(partner.Length), string(partner.Copy))
 		} else if f.Form != "" {
 			c.wrong(key+".form", "%s has no form", f.Kind)
--- a/internal/rehearse/stage/stage.go
+++ b/internal/rehearse/stage/stage.go
@@ -17,6 +17,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"troutusher/internal/draw"
 	"troutusher/internal/rehearse/load"
 	"troutusher/internal/rehearse/referee"
 	"troutusher/internal/rehearse/scenario"
@@ -64,6 +65,7 @@
 	Crashes    []string // relays that ended by themselves, and what else makes the relays fail
 	Trouble    []string // what went wrong in the kit itself: the run is void
 	Calls      []Calls  // by partner
+	Door       int      // requests that met a connection refused, reset or closed unread
 	LateDriver trace.Time
 	LateWorld  trace.Time // of the stand-ins
 	Answers    *hdrhistogram.Histogram
@@ -346,6 +348,32 @@
 			s.hub.emit(trace.Event{At: s.now(), Kind: trace.Killed, Relay: r.num})
 			s.again(ctx, r)
 		})
+	case scenario.Upgrade:
+		return process(func(r *relay) { s.upgrade(ctx, r, f) })
+	case scenario.DrainRelay:
+		drain := func(on bool) func() {
+			what := "UNDRAIN"
+			if on {
+				what = "DRAIN"
+			}
+			return relays(func(i int) {
+				r := s.relays[i]
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				if !s.agents[i].Process {
+					return
+				}
+				if !call(r.now.console, what) {
+					s.say(&s.crashes, "relay %d: its console said no to %s", i+1, what)
+				}
+				if on { // the front sees that it says no to PING
+					s.driver.Down(i, 200_000)
+				} else {
+					s.driver.Up(i)
+				}
+			})
+		}
+		return span(drain(true), drain(false))
 	case scenario.Reload:
 		return process(func(r *relay) {
 			if _, err := s.reg.Move(r.num); err != nil {
@@ -433,6 +461,31 @@
 }
 
 // again starts a relay once more. The caller holds its lock.
+// upgrade plays one upgrade of a relay.
+func (s *Stage) upgrade(ctx context.Context, r *relay, f *scenario.PlannedFault) {
+	if f.Form == "" {
+		if err := r.upgrade(ctx); err != nil && ctx.Err() == nil {
+			s.say(&s.crashes, "upgrade: %v", err)
+		}
+		return
+	}
+	after := time.Duration(draw.Hash(s.plan.Seed, 900, uint64(f.At), uint64(r.num)) % uint64(upgradeCutMost))
+	s.hub.emit(trace.Event{At: s.now(), Kind: trace.Killed, Relay: r.num}) // calls that are out may be cut from here on
+	alive, err := r.upgradeCut(ctx, after, f.Form == scenario.KillOld)
+	switch {
+	case err != nil && ctx.Err() == nil:
+		s.say(&s.crashes, "upgrade, %s after %v: %v", f.Form, after, err)
+	case alive:
+		s.hub.emit(trace.Event{At: s.now(), Kind: trace.Ready, Relay: r.num})
+	default:
+		s.driver.Down(r.num, scenario.Micros(s.plan.Scenario.Clients.FrontNoticeMS))
+		s.hub.emit(trace.Event{At: s.now(), Kind: trace.Killed, Relay: r.num})
+		s.again(ctx, r)
+	}
+}
+
+const upgradeCutMost = 80 * time.Millisecond // by then a new process has taken over
+
 func (s *Stage) again(ctx context.Context, r *relay) {
 	if ctx.Err() != nil {
 		return
@@ -487,7 +540,7 @@
 
 func (s *Stage) outcome() *Outcome {
 	late, err := s.world.Late(99)
-	o := &Outcome{Plan: s.plan, Start: s.start.Load(), End: s.now(), Results: s.driver.Results(), LateDriver: s.driver.Late(99), LateWorld: late}
+	o := &Outcome{Plan: s.plan, Start: s.start.Load(), End: s.now(), Results: s.driver.Results(), Door: s.driver.Door(), LateDriver: s.driver.Late(99), LateWorld: late}
 	if err != nil {
 		s.say(&s.trouble, "%v", err)
 	}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -271,10 +271,12 @@
 
 // budget splits the descriptors between clients and endpoints. A call out
 // needs one each, so the endpoints' part is never under the slots as long as
-// the clients keep half.
+// the clients keep half. Twice the slots, where there are as many, leave some
+// idle ones to each endpoint: with fewer, each call closes another endpoint's
+// and opens its own.
 func (c *Config) budget() (clients, endpoints int) {
 	free := c.Limits.Sockets - ownSockets
-	endpoints = min(max(free/4, c.Policy.Slots+spareEndpoints), free/2)
+	endpoints = min(max(free/4, c.Policy.Slots+spareEndpoints, min(2*c.Policy.Slots, free*2/5)), free/2)
 	if most := c.Operator.Places; most > 0 {
 		endpoints = free - most
 	}
--- /dev/null
+++ b/internal/relay/handover_test.go
@@ -0,0 +1,434 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"troutusher/internal/core"
+	"troutusher/internal/takeover/link"
+)
+
+// drainingMember names a destination that nobody serves for now.
+func drainingMember(id string, cell int) core.Member {
+	return core.Member{ID: id, HostPort: "127.0.0.1:1", Cell: cell, Phase: core.Draining}
+}
+
+// another starts a relay beside those that are there, at a console of its own,
+// and does not wait for it.
+func another(t *testing.T, env map[string]string) *child {
+	t.Helper()
+	own := map[string]string{}
+	for k, v := range env {
+		own[k] = v
+	}
+	own["ROUTER_CONSOLE"] = freeAddr(t)
+	c := &child{cmd: exec.Command(os.Args[0]), env: own, exited: make(chan error, 1)}
+	c.cmd.Env = append(os.Environ(), childEnv+"=1")
+	for k, v := range own {
+		c.cmd.Env = append(c.cmd.Env, k+"="+v)
+	}
+	c.cmd.Stderr = testWriter{t}
+	if err := c.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { c.exited <- c.cmd.Wait() }()
+	t.Cleanup(func() { c.cmd.Process.Kill() })
+	return c
+}
+
+func (c *child) console() string { return c.env["ROUTER_CONSOLE"] }
+
+func (c *child) yes() bool {
+	s, err := callConsole(c.console(), "READY")
+	return err == nil && strings.HasPrefix(s, "YES")
+}
+
+// upgrade starts a process beside another and waits until it has taken over.
+func upgrade(t *testing.T, old *child) *child {
+	t.Helper()
+	c := another(t, old.env)
+	waitFor(t, "the new process's yes", c.yes)
+	if err := <-old.exited; err != nil {
+		t.Errorf("the old process: %v", err)
+	}
+	return c
+}
+
+func firstOf(t *testing.T, env map[string]string) *child {
+	c := another(t, env)
+	waitFor(t, "yes", c.yes)
+	return c
+}
+
+// An upgrade under load: a kept connection, half a command on another, a call
+// of an unsafe message that is out, what is held, and a wait that the old
+// process was told. Nothing is lost, nothing goes out twice, no connection ends.
+func TestUpgrade(t *testing.T) {
+	release := make(chan struct{})
+	slow := newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request, _ int) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	var told atomic.Int64 // when the wait was told
+	waits := newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request, n int) {
+		if n == 1 {
+			told.Store(time.Now().UnixMicro())
+			w.Header().Set("Retry-After", "1.5")
+			w.WriteHeader(http.StatusTooManyRequests)
+		}
+	})
+	quick := newFakeEndpoint(t, nil)
+	gone := drainingMember("s-0", 5)
+	disc := newFakeDiscovery(t, slow.member("s-1", 1), quick.member("s-2", 2), waits.member("s-3", 3), gone)
+	env := testConfig(t, disc, 3)
+	old := firstOf(t, env)
+	cl, half := dialClient(t, env["ROUTER_LISTEN"]), dialClient(t, env["ROUTER_LISTEN"])
+	for id, dest := range map[string]int{"out": 1, "wait": 3} {
+		if s := cl.put(id, fields("once", 20000, dest), nil); s != "+OK" {
+			t.Fatalf("%s: %s", id, s)
+		}
+	}
+	if s := cl.put("held", fields("plain", 20000, 5), []byte("body")); s != "+OK" { // nobody serves 5 yet
+		t.Fatal(s)
+	}
+	waitFor(t, "the calls", func() bool { return slow.count("out") == 1 && told.Load() > 0 })
+	text := putText("half", fields("keyed", 20000, 2), []byte("two\r\nlines"))
+	io.WriteString(half, text[:len(text)-9])
+	waitFor(t, "the wait's answer", func() bool { return figures(t, old.console())["current"] == 3 })
+
+	fresh := upgrade(t, old)
+	if s := cl.put("after", fields("plain", 8000, 2), nil); s != "+OK" {
+		t.Errorf("on a kept connection: %s", s)
+	}
+	io.WriteString(half, text[len(text)-9:])
+	if s := half.line(); s != "+OK" {
+		t.Errorf("half a command: %s", s)
+	}
+	waitFor(t, "both", func() bool { return quick.count("after") == 1 && quick.count("half") == 1 })
+	quick.mu.Lock()
+	for _, c := range quick.calls {
+		if c.id == "half" && string(c.body) != "two\r\nlines" {
+			t.Errorf("half a command's body became %q", c.body)
+		}
+	}
+	quick.mu.Unlock()
+	waitFor(t, "the one that waits", func() bool { return waits.count("wait") == 2 })
+	if waited := time.Now().UnixMicro() - told.Load(); waited < 1.4e6 {
+		t.Errorf("sent %d ms after it was told to wait 1,500", waited/1000)
+	}
+	close(release)
+	other := newFakeEndpoint(t, nil)
+	m := other.member("s-5", 5)
+	disc.say(t, change(7, m))
+	waitFor(t, "the held one", func() bool { return other.count("held") == 1 })
+	waitFor(t, "all to end", func() bool { return figures(t, fresh.console())["current"] == 0 })
+	got := figures(t, fresh.console())
+	if n := slow.count("out"); n != 1 || got["answered.once"] != 2 || got["errored.once"] != 0 {
+		t.Errorf("the call that was out went out %d times; figures %v", n, got)
+	}
+	disc.set(func(d *fakeDiscovery) {
+		if len(d.notices) > 0 {
+			t.Errorf("notices: %v", d.notices)
+		}
+	})
+}
+
+// Again and again, also during a drain and with discovery silent: each process
+// takes over from the one before, and the clients' connection lasts.
+func TestUpgradesBackToBack(t *testing.T) {
+	ep := newFakeEndpoint(t, nil)
+	disc := newFakeDiscovery(t, ep.member("s-1", 1))
+	env := testConfig(t, disc, 3)
+	now := firstOf(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	stop := make(chan struct{})
+	var sum sync.WaitGroup
+	sum.Add(1)
+	n := 0
+	go func() {
+		defer sum.Done()
+		for ; ; n++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			io.WriteString(cl, putText(fmt.Sprintf("m%d", n), fields("once", 20000, 1), nil))
+			if s, err := cl.in.ReadString('\n'); err != nil || s != "+OK\r\n" {
+				t.Errorf("m%d: %q %v", n, s, err)
+				return
+			}
+		}
+	}()
+	for i := range 6 {
+		if i == 4 {
+			now.cmd.Process.Signal(syscall.SIGHUP) // read again, in the midst of it
+		}
+		now = upgrade(t, now)
+	}
+	disc.set(func(d *fakeDiscovery) { d.silent = true })
+	now = upgrade(t, now)
+	close(stop)
+	sum.Wait()
+	if n < 20 {
+		t.Errorf("only %d messages", n)
+	}
+	waitFor(t, "all to end", func() bool { return figures(t, now.console())["current"] == 0 })
+	for i := range n { // each has one end; at this speed some are handed back
+		id := fmt.Sprintf("m%d", i)
+		calls := ep.count(id)
+		if calls == 1 {
+			continue
+		}
+		waitFor(t, "the notice of "+id, func() bool { x, ok := disc.notice(id); return ok && x.Outcome == "handed_back" })
+		if calls > 1 {
+			t.Errorf("%s went out %d times", id, calls)
+		}
+	}
+	// A drain is of the process that was told: the next one serves.
+	mustCall(t, now.console(), "DRAIN")
+	now = upgrade(t, now)
+	c := dialClient(t, env["ROUTER_LISTEN"])
+	io.WriteString(c, "*1\r\n$4\r\nPING\r\n")
+	if s := c.line(); s != "+PONG" {
+		t.Errorf("after an upgrade during a drain: %s", s)
+	}
+}
+
+// taker is the other process of a hand-over, as far as a test wants it to get.
+type taker struct {
+	t     *testing.T
+	link  *link.Link
+	lock  *stateLock
+	state handed
+	fds   []int
+}
+
+func newTaker(t *testing.T, dir string) *taker {
+	t.Helper()
+	l, err := greet(dir, time.Now().Add(10*time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := &taker{t: t, link: l}
+	if k.lock, err = openLock(dir); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(k.die)
+	return k
+}
+
+// receive takes everything, or so many packets.
+func (k *taker) receive(most int) {
+	k.t.Helper()
+	by := time.Now().Add(10 * time.Second)
+	if err := k.link.Send(pktTake, nil, by); err != nil {
+		k.t.Fatal(err)
+	}
+	var body []byte
+	for range most {
+		p, err := k.link.Receive(by)
+		if err != nil {
+			k.t.Fatal(err)
+		}
+		k.fds = append(k.fds, p.FDs...)
+		body = append(body, p.Body...)
+		switch p.Kind {
+		case pktPart:
+			continue
+		case pktState:
+			if err := json.Unmarshal(body, &k.state); err != nil {
+				k.t.Fatal(err)
+			}
+		case pktEnd:
+			return
+		}
+		body = body[:0]
+	}
+}
+
+// die is what a killed process's end looks like to others.
+func (k *taker) die() {
+	for _, fd := range k.fds {
+		syscall.Close(fd)
+	}
+	k.fds = nil
+	k.link.Close()
+	k.lock.close()
+}
+
+// The new process dies before it says that the work is its own, at each point:
+// the old one serves on as if nothing had happened.
+func TestTakerDiesBeforeItOwns(t *testing.T) {
+	for name, far := range map[string]func(k *taker){
+		"greeted":       func(k *taker) {},
+		"asked":         func(k *taker) { k.link.Send(pktTake, nil, time.Now().Add(time.Second)) },
+		"in the middle": func(k *taker) { k.receive(1) },
+		"with all":      func(k *taker) { k.receive(1000) },
+		"with the lock": func(k *taker) {
+			k.receive(1000)
+			waitFor(k.t, "the lock", k.lock.try)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			slow := newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request, _ int) {
+				select {
+				case <-release:
+				case <-r.Context().Done():
+				}
+			})
+			quick := newFakeEndpoint(t, nil)
+			disc := newFakeDiscovery(t, slow.member("s-1", 1), quick.member("s-2", 2))
+			env := testConfig(t, disc, 3)
+			old := firstOf(t, env)
+			cl := dialClient(t, env["ROUTER_LISTEN"])
+			if s := cl.put("out", fields("once", 20000, 1), nil); s != "+OK" {
+				t.Fatal(s)
+			}
+			waitFor(t, "the call", func() bool { return slow.count("out") == 1 })
+			k := newTaker(t, env["ROUTER_STATE"])
+			far(k)
+			k.die()
+			waitFor(t, "it to serve on", old.yes)
+			if s := cl.put("after", fields("once", 8000, 2), nil); s != "+OK" {
+				t.Errorf("on the kept connection: %s", s)
+			}
+			waitFor(t, "the message after it", func() bool { return quick.count("after") == 1 })
+			close(release)
+			waitFor(t, "both to end", func() bool { return figures(t, old.console())["answered.once"] == 2 })
+			if n := slow.count("out"); n != 1 {
+				t.Errorf("the call that was out went out %d times", n)
+			}
+			fresh := upgrade(t, old) // and the next one is taken seriously
+			if s := cl.put("last", fields("once", 8000, 2), nil); s != "+OK" {
+				t.Errorf("after the next upgrade: %s", s)
+			}
+			waitFor(t, "the last", func() bool { return figures(t, fresh.console())["answered.once"] == 1 })
+		})
+	}
+}
+
+// The new process dies after it said that the work is its own, and before it
+// serves: the old one starts anew from the log, as after a kill.
+func TestTakerDiesOnceItOwns(t *testing.T) {
+	quick, slow := newFakeEndpoint(t, nil), newFakeEndpoint(t, hang)
+	disc := newFakeDiscovery(t, slow.member("s-1", 1), drainingMember("s-0", 5))
+	env := testConfig(t, disc, 3)
+	old := firstOf(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	for id, dest := range map[string]int{"out": 1, "held": 5} {
+		if s := cl.put(id, fields("once", 20000, dest), nil); s != "+OK" {
+			t.Fatalf("%s: %s", id, s)
+		}
+	}
+	waitFor(t, "the call", func() bool { return slow.count("out") == 1 })
+	k := newTaker(t, env["ROUTER_STATE"])
+	k.receive(1000)
+	if len(k.state.Core.Calls) != 1 || k.state.Core.Calls[0].Message != "out" {
+		t.Errorf("calls: %+v", k.state.Core.Calls)
+	}
+	waitFor(t, "the lock", k.lock.try)
+	if err := k.link.Send(pktMine, nil, time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	k.die()
+	waitFor(t, "it to serve anew", old.yes)
+	waitFor(t, "the end of what may have run", func() bool { n, ok := disc.notice("out"); return ok && n.Outcome == "given_up" })
+	disc.say(t, change(7, quick.member("s-5", 5)))
+	waitFor(t, "what never ran", func() bool { return quick.count("held") == 1 })
+	if n := slow.count("out"); n != 1 {
+		t.Errorf("an unsafe message went out %d times", n)
+	}
+}
+
+// The old process is killed while the new one waits for it: the new one starts
+// from the log. So it does where a dead process has left lock and socket.
+func TestGiverIsKilled(t *testing.T) {
+	quick, slow := newFakeEndpoint(t, nil), newFakeEndpoint(t, hang)
+	disc := newFakeDiscovery(t, slow.member("s-1", 1), drainingMember("s-0", 5))
+	env := testConfig(t, disc, 3)
+	old := firstOf(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	for id, dest := range map[string]int{"out": 1, "held": 5} {
+		if s := cl.put(id, fields("once", 20000, dest), nil); s != "+OK" {
+			t.Fatalf("%s: %s", id, s)
+		}
+	}
+	waitFor(t, "the call", func() bool { return slow.count("out") == 1 })
+	old.cmd.Process.Signal(syscall.SIGSTOP) // it answers nothing
+	fresh := another(t, env)
+	waitFor(t, "the new process", func() bool { _, err := callConsole(fresh.console(), "READY"); return err == nil })
+	if s, _ := callConsole(fresh.console(), "READY"); !strings.HasPrefix(s, "NO") {
+		t.Errorf("READY while the old process owns the work: %q", s)
+	}
+	old.cmd.Process.Kill()
+	waitFor(t, "yes", fresh.yes)
+	if _, err := os.Stat(filepath.Join(env["ROUTER_STATE"], lockName)); err != nil {
+		t.Error(err)
+	}
+	waitFor(t, "the end of what may have run", func() bool { n, ok := disc.notice("out"); return ok && n.Outcome == "given_up" })
+	disc.say(t, change(7, quick.member("s-5", 5)))
+	waitFor(t, "what never ran", func() bool { return quick.count("held") == 1 })
+	if n := slow.count("out"); n != 1 {
+		t.Errorf("an unsafe message went out %d times", n)
+	}
+}
+
+// Where an older program serves, which knows nothing of the lock, a new one
+// ends at once, and does not touch its log.
+func TestOlderProgramServes(t *testing.T) {
+	disc := newFakeDiscovery(t)
+	env := testConfig(t, disc, 3)
+	ln, err := net.Listen("tcp", env["ROUTER_LISTEN"]) // as an older program has it
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	log := filepath.Join(env["ROUTER_STATE"], walName)
+	if err := os.WriteFile(log, []byte("a log that is in use"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := another(t, env)
+	if err := <-c.exited; err == nil || c.cmd.ProcessState.ExitCode() != 1 {
+		t.Errorf("exit: %v", err)
+	}
+	if text, err := os.ReadFile(log); err != nil || string(text) != "a log that is in use" {
+		t.Errorf("the log became %q, %v", text, err)
+	}
+}
+
+// A packet that makes no sense is refused and leaves no descriptor open.
+func FuzzHanded(f *testing.F) {
+	for _, s := range []string{`S{"core":{"members":[]}}`, `C[{"place":{}}]`, `K["a"]`, "L", "E", "N", "x", `S{"core":null}`, `K{}`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		if len(in) == 0 {
+			return
+		}
+		h := &inheritance{calls: map[string]int{}}
+		err := h.take(in[0], in[1:], nil)
+		if err == nil && in[0] == pktEnd && h.Core == nil {
+			t.Fatal("an end without a state is believed")
+		}
+		if len(h.conns)+len(h.calls)+len(h.listeners) > 0 {
+			t.Fatalf("descriptors out of nothing: %+v", h)
+		}
+	})
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -271,7 +271,7 @@
 		if !stopping {
 			continue
 		}
-		if !told {
+		if !told && !r.core.KeepsClients(r.now()) {
 			told = true
 			r.duty.stop()
 		}
@@ -280,7 +280,7 @@
 			cl.front.CloseListeners()
 		}
 		idle := r.core.Waiting() == 0 && r.core.Calls() == 0 && (r.core.Held() == 0 || gone >= core.StopSends)
-		if !listening && idle || gone >= core.StopCalls {
+		if told && !listening && idle || gone >= core.StopCalls {
 			r.log.Info("stopped", "held", r.core.Held(), "calls", r.core.Calls())
 			return nil
 		}
