Another hall costs three times as much in the choice of an endpoint

The factor of 1.5 was passed by a single call in flight nearby. Ruled out: latency of the nearby endpoints (the same kinds stand in each hall). Rejected: never crossing while one nearby is sound, which would load it alone.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -702,7 +702,7 @@
 				cost += lat
 			}
 			if ep.zone != p.set.Zone {
-				cost *= 1.5
+				cost *= 3.0
 			}
 			if m.failedAt == ep { // another may do better, whatever the cause
 				cost += float64(m.class.Aim)
