--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -144,3 +144,11 @@
 		}
 	})
 }
+
+func BenchmarkStats(b *testing.B) {
+	calls := testCalls()
+	b.ReportAllocs()
+	for b.Loop() {
+		calls.Answer([]byte("STATS"))
+	}
+}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -34,8 +34,8 @@
 	claimWait  = 5500 * time.Millisecond
 	quietWait  = time.Second            // for requests to be answered
 	parkWait   = 600 * time.Millisecond // for calls whose answer has begun
-	sendWait   = 2 * time.Second
-	mineWait   = 3 * time.Second
+	sendWait   = time.Second
+	mineWait   = 700 * time.Millisecond
 	servesWait = 10 * time.Second
 	lockPause  = 5 * time.Millisecond
 	lookPause  = 50 * time.Millisecond
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -83,6 +83,15 @@
 		case <-r.Context().Done():
 		}
 	})
+	busy := newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request, n int) {
+		if n == 1 { // it never ran, and that is known in the other process only
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
 	var told atomic.Int64 // when the wait was told
 	waits := newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request, n int) {
 		if n == 1 {
@@ -93,11 +102,11 @@
 	})
 	quick := newFakeEndpoint(t, nil)
 	gone := drainingMember("s-0", 5)
-	disc := newFakeDiscovery(t, slow.member("s-1", 1), quick.member("s-2", 2), waits.member("s-3", 3), gone)
+	disc := newFakeDiscovery(t, slow.member("s-1", 1), quick.member("s-2", 2), waits.member("s-3", 3), busy.member("s-4", 4), gone)
 	env := testConfig(t, disc, 3)
 	old := firstOf(t, env)
 	cl, half := dialClient(t, env["ROUTER_LISTEN"]), dialClient(t, env["ROUTER_LISTEN"])
-	for id, dest := range map[string]int{"out": 1, "wait": 3} {
+	for id, dest := range map[string]int{"out": 1, "wait": 3, "busy": 4} {
 		if s := cl.put(id, fields("once", 20000, dest), nil); s != "+OK" {
 			t.Fatalf("%s: %s", id, s)
 		}
@@ -105,10 +114,10 @@
 	if s := cl.put("held", fields("plain", 20000, 5), []byte("body")); s != "+OK" { // nobody serves 5 yet
 		t.Fatal(s)
 	}
-	waitFor(t, "the calls", func() bool { return slow.count("out") == 1 && told.Load() > 0 })
+	waitFor(t, "the calls", func() bool { return slow.count("out") == 1 && busy.count("busy") == 1 && told.Load() > 0 })
 	text := putText("half", fields("keyed", 20000, 2), []byte("two\r\nlines"))
 	io.WriteString(half, text[:len(text)-9])
-	waitFor(t, "the wait's answer", func() bool { return figures(t, old.console())["current"] == 3 })
+	waitFor(t, "the wait's answer", func() bool { return figures(t, old.console())["current"] == 4 })
 
 	fresh := upgrade(t, old)
 	if s := cl.put("after", fields("plain", 8000, 2), nil); s != "+OK" {
@@ -137,7 +146,10 @@
 	waitFor(t, "the held one", func() bool { return other.count("held") == 1 })
 	waitFor(t, "all to end", func() bool { return figures(t, fresh.console())["current"] == 0 })
 	got := figures(t, fresh.console())
-	if n := slow.count("out"); n != 1 || got["answered.once"] != 2 || got["errored.once"] != 0 {
+	if n := busy.count("busy"); n != 2 {
+		t.Errorf("one that never ran went out %d times, want 2", n)
+	}
+	if n := slow.count("out"); n != 1 || got["answered.once"] != 3 || got["errored.once"] != 0 {
 		t.Errorf("the call that was out went out %d times; figures %v", n, got)
 	}
 	disc.set(func(d *fakeDiscovery) {
@@ -390,6 +402,46 @@
 	}
 }
 
+// The disk is nearly full when another process takes over: all that is owed
+// still is, and the folder stays under its limit.
+func TestUpgradeWithAFullDisk(t *testing.T) {
+	disc := newFakeDiscovery(t, drainingMember("s-0", 5))
+	env := testConfig(t, disc, 1)
+	old := firstOf(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	taken := int64(0)
+	for i := range 40 {
+		if s := cl.put(fmt.Sprintf("m%d", i), fields("plain", 20000, 5), []byte(strings.Repeat("b", bodyMost))); s == "+OK" {
+			taken++
+		}
+	}
+	if taken == 0 || taken == 40 {
+		t.Fatalf("%d of 40 taken on", taken)
+	}
+	for range 3 {
+		old = upgrade(t, old)
+		if got := figures(t, old.console())["current"]; got != taken {
+			t.Errorf("%d messages are held, %d were taken on", got, taken)
+		}
+		if size := folderSize(t, env["ROUTER_STATE"]); size > 1<<20 {
+			t.Errorf("%d bytes in the folder", size)
+		}
+	}
+}
+
+func folderSize(t *testing.T, dir string) (sum int64) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		if info, err := e.Info(); err == nil {
+			sum += (info.Size() + 511) / 512 * 512
+		}
+	}
+	return sum
+}
+
 // Where an older program serves, which knows nothing of the lock, a new one
 // ends at once, and does not touch its log.
 func TestOlderProgramServes(t *testing.T) {
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -257,3 +257,40 @@
 		r.Args()
 	}
 }
+
+// A reader brought to where another one stopped goes on as that one would have,
+// wherever that was.
+func TestPending(t *testing.T) {
+	for _, text := range []string{"*1\r\n$4\r\nPING\r\n", "*5\r\n$7\r\nMSG.PUT\r\n$0\r\n\r\n$2\r\n\r\n\r\n$3\r\nabc\r\n$12\r\nbody of it\r\n\r\n", "*2\r\n$1\r\na\r\n$0\r\n\r\n"} {
+		want := model([]byte(text))
+		for cut := range len(text) {
+			first, second := &Reader{}, &Reader{}
+			if _, whole, err := first.Feed([]byte(text[:cut])); whole || err != nil {
+				t.Fatalf("%q, cut at %d: %v %v", text, cut, whole, err)
+			}
+			have, ok := first.Pending()
+			if !ok {
+				t.Fatalf("%q, cut at %d: nothing kept", text, cut)
+			}
+			if string(have) != text[:cut] {
+				t.Fatalf("%q, cut at %d: %q", text, cut, have)
+			}
+			if _, whole, err := second.Feed(have); whole || err != nil {
+				t.Fatalf("%q, cut at %d: %q gives %v %v", text, cut, have, whole, err)
+			}
+			if _, whole, err := second.Feed([]byte(text[cut:])); !whole || err != nil {
+				t.Fatalf("%q, cut at %d: then %v %v", text, cut, whole, err)
+			}
+			for i, a := range second.Args() {
+				if string(a) != want[0].args[i] {
+					t.Errorf("%q, cut at %d: argument %d is %q", text, cut, i, a)
+				}
+			}
+		}
+	}
+	long := &Reader{}
+	long.Feed([]byte("*2\r\n$4\r\nPING\r\n$70000\r\nabc"))
+	if _, ok := long.Pending(); ok {
+		t.Error("a command that is read past is kept")
+	}
+}
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 )
 
@@ -21,6 +22,7 @@
 	tBegan      bool // the taker has written or sent something
 	gMemory     bool // the giver's memory is still true
 	startedAnew bool
+	mine        bool // the taker has said so, or found itself alone
 }
 
 func (w *world) giver(e GiverEvent) {
@@ -130,6 +132,7 @@
 		case SayMine:
 			if w.linkUp {
 				w.toG = append(w.toG, SaidMine)
+				w.mine = true
 				w.taker(MineSaid)
 			} else {
 				w.taker(GiverGone)
@@ -141,7 +144,7 @@
 			w.tDo, w.toT = nil, nil
 			w.look()
 		case TakeUp, StartAlone:
-			w.tBegan, w.gMemory = true, false
+			w.tBegan, w.gMemory, w.mine = true, false, true
 			w.taker(Up)
 		case SayServes:
 			if w.linkUp {
@@ -199,6 +202,9 @@
 			if w.gLive && w.tLive && w.g.Owns() && w.t.Owns() {
 				t.Fatalf("seed %d, step %d: both own it: giver %d, taker %d", seed, n, w.g.state, w.t.state)
 			}
+			if w.tLive && w.t.Owns() && !w.mine && !slices.Contains(w.tDo, StartAlone) {
+				t.Fatalf("seed %d, step %d: the taker owns it and has not said so", seed, n)
+			}
 			if w.tLive && w.t.Owns() && w.lock != 't' || w.gLive && w.g.Owns() && w.lock == 't' {
 				t.Fatalf("seed %d, step %d: the owner has no lock: giver %d, taker %d, lock %c", seed, n, w.g.state, w.t.state, w.lock)
 			}
