--- /dev/null
+++ b/internal/tlspolicy/identity_test.go
@@ -0,0 +1,241 @@
+package tlspolicy
+
+import (
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/ed25519"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/rsa"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+)
+
+var noon = time.Date(2026, 6, 7, 12, 0, 0, 0, time.UTC)
+
+// made is a certificate with its key.
+type made struct {
+	*x509.Certificate
+	key crypto.Signer
+}
+
+var serial int64
+
+// issue makes a certificate that up signs; nil signs itself.
+func issue(t testing.TB, up *made, key crypto.Signer, change func(*x509.Certificate)) *made {
+	t.Helper()
+	if key == nil {
+		k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+		if err != nil {
+			t.Fatal(err)
+		}
+		key = k
+	}
+	serial++
+	c := &x509.Certificate{SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "c"}, NotBefore: noon.Add(-time.Hour), NotAfter: noon.Add(time.Hour),
+		KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}, BasicConstraintsValid: true,
+		DNSNames: []string{"pay.example.org"}}
+	if change != nil {
+		change(c)
+	}
+	c.Subject.SerialNumber = c.SerialNumber.String()
+	parent, signer := c, key
+	if up != nil {
+		parent, signer = up.Certificate, up.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, parent, key.Public(), signer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &made{got, key}
+}
+
+func authority(c *x509.Certificate) {
+	c.IsCA, c.DNSNames, c.ExtKeyUsage = true, nil, nil
+	c.KeyUsage = x509.KeyUsageCertSign | x509.KeyUsageCRLSign
+	c.NotBefore, c.NotAfter = noon.Add(-1000*time.Hour), noon.Add(1000*time.Hour)
+}
+
+func and(fs ...func(*x509.Certificate)) func(*x509.Certificate) {
+	return func(c *x509.Certificate) {
+		for _, f := range fs {
+			f(c)
+		}
+	}
+}
+
+// Each refusal has its cause, and nothing else is refused.
+func TestVerify(t *testing.T) {
+	root, other := issue(t, nil, nil, authority), issue(t, nil, nil, authority)
+	mid := issue(t, root, nil, authority)
+	deep := issue(t, mid, nil, authority)
+	names := func(n ...string) func(*x509.Certificate) { return func(c *x509.Certificate) { c.DNSNames = n } }
+	from := func(from, to time.Duration) func(*x509.Certificate) {
+		return func(c *x509.Certificate) { c.NotBefore, c.NotAfter = noon.Add(from), noon.Add(to) }
+	}
+	weakRSA, err := rsa.GenerateKey(rand.Reader, 1024)
+	if err != nil {
+		t.Skip("this build makes no weak keys: ", err)
+	}
+	goodRSA, err := rsa.GenerateKey(rand.Reader, 2048)
+	if err != nil {
+		t.Fatal(err)
+	}
+	weakCurve, err := ecdsa.GenerateKey(elliptic.P224(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, ed, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := issue(t, mid, nil, nil)
+	backup := issue(t, mid, nil, nil)
+	oldMid := issue(t, root, nil, and(authority, from(-100*time.Hour, -time.Hour)))
+	youngMid := issue(t, root, nil, and(authority, from(time.Hour, 100*time.Hour)))
+	noCA := issue(t, root, nil, and(authority, func(c *x509.Certificate) { c.IsCA = false }))
+	weakMid := issue(t, root, weakRSA, authority)
+	narrow := issue(t, root, nil, and(authority, func(c *x509.Certificate) {
+		c.PermittedDNSDomains, c.PermittedDNSDomainsCritical = []string{"shop.example.org"}, true
+	}))
+	short := issue(t, root, nil, and(authority, func(c *x509.Certificate) { c.MaxPathLen, c.MaxPathLenZero = 0, true }))
+	underShort := issue(t, short, nil, authority)
+	chain := func(all ...*made) (c []*x509.Certificate) {
+		for _, m := range all {
+			c = append(c, m.Certificate)
+		}
+		return c
+	}
+	leaf := func(up *made, change func(*x509.Certificate)) *made { return issue(t, up, nil, change) }
+	is := func(what Revocation, who ...*made) func(c, _ *x509.Certificate) Revocation {
+		return func(c, _ *x509.Certificate) Revocation {
+			for _, m := range who {
+				if c.Equal(m.Certificate) {
+					return what
+				}
+			}
+			return Good
+		}
+	}
+	pins := func(all ...*made) (p []Pin) {
+		for _, m := range all {
+			p = append(p, PinOf(m.Certificate))
+		}
+		return p
+	}
+	for _, x := range []struct {
+		name   string
+		shown  []*x509.Certificate
+		pins   []Pin
+		hard   bool
+		status func(c, issuer *x509.Certificate) Revocation
+		want   Cause // 0: accepted
+	}{
+		{name: "sound", shown: chain(good, mid)},
+		{name: "sound, three deep", shown: chain(leaf(deep, nil), deep, mid)},
+		{name: "sound, the chain in disorder", shown: chain(leaf(deep, nil), mid, deep)},
+		{name: "sound, the root shown as well", shown: chain(good, mid, root)},
+		{name: "sound, with one that has no part in it", shown: chain(good, other, mid)},
+		{name: "sound, straight from the root", shown: chain(leaf(root, nil))},
+		{name: "sound, a wildcard", shown: chain(leaf(mid, names("*.example.org")), mid)},
+		{name: "sound, RSA 2048", shown: chain(issue(t, mid, goodRSA, nil), mid)},
+		{name: "sound, Ed25519", shown: chain(issue(t, mid, ed, nil), mid)},
+		{name: "sound, pinned", shown: chain(good, mid), pins: pins(good, backup)},
+		{name: "sound, one above it pinned", shown: chain(good, mid), pins: pins(mid, backup)},
+		{name: "sound, the root pinned", shown: chain(good, mid), pins: pins(backup, root)},
+		{name: "sound, known to be good", shown: chain(good, mid), hard: true, status: is(Good)},
+		{name: "sound, unknown and soft", shown: chain(good, mid), status: is(Unknown, good)},
+		{name: "none", want: NoCertificate},
+		{name: "weak RSA", shown: chain(issue(t, mid, weakRSA, nil), mid), want: WeakKey},
+		{name: "weak curve", shown: chain(issue(t, mid, weakCurve, nil), mid), want: WeakKey},
+		{name: "weak above", shown: chain(leaf(weakMid, nil), weakMid), want: WeakKey},
+		{name: "not yet", shown: chain(leaf(mid, from(time.Second, time.Hour)), mid), want: NotYetValid},
+		{name: "expired", shown: chain(leaf(mid, from(-time.Hour, -time.Second)), mid), want: Expired},
+		{name: "expired this moment", shown: chain(leaf(mid, from(-time.Hour, 0)), mid), want: Expired},
+		{name: "expired above", shown: chain(leaf(oldMid, nil), oldMid), want: Expired},
+		{name: "not yet above", shown: chain(leaf(youngMid, nil), youngMid), want: NotYetValid},
+		{name: "another name", shown: chain(leaf(mid, names("shop.example.org")), mid), want: WrongName},
+		{name: "no name", shown: chain(leaf(mid, names()), mid), want: WrongName},
+		{name: "the name in the subject alone", shown: chain(leaf(mid, func(c *x509.Certificate) { c.DNSNames, c.Subject.CommonName = nil, "pay.example.org" }), mid), want: WrongName},
+		{name: "a wildcard too wide", shown: chain(leaf(mid, names("*.org")), mid), want: WrongName},
+		{name: "a wildcard one level up", shown: chain(leaf(mid, names("*.pay.example.org")), mid), want: WrongName},
+		{name: "its address, not its name", shown: chain(leaf(mid, func(c *x509.Certificate) { c.DNSNames, c.IPAddresses = nil, []net.IP{{127, 0, 0, 1}} }), mid), want: WrongName},
+		{name: "another root", shown: chain(leaf(other, nil), other), want: WrongRoot},
+		{name: "signed by itself", shown: chain(issue(t, nil, nil, nil)), want: WrongRoot},
+		{name: "what is between is missing", shown: chain(good), want: WrongRoot},
+		{name: "what is between is another's", shown: chain(good, oldMid), want: Expired},
+		{name: "no authority above", shown: chain(leaf(noCA, nil), noCA), want: WrongRoot},
+		{name: "for clients", shown: chain(leaf(mid, func(c *x509.Certificate) { c.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth} }), mid), want: BadChain},
+		{name: "outside what its authority may name", shown: chain(leaf(narrow, nil), narrow), want: BadChain},
+		{name: "deeper than its authority may go", shown: chain(leaf(underShort, nil), underShort, short), want: BadChain},
+		{name: "not pinned", shown: chain(good, mid), pins: pins(other, backup), want: WrongPin},
+		{name: "another's pin of the same name", shown: chain(leaf(mid, nil), mid), pins: pins(good, backup), want: WrongPin},
+		{name: "revoked", shown: chain(good, mid), status: is(Revoked, good), want: IsRevoked},
+		{name: "revoked above", shown: chain(good, mid), status: is(Revoked, mid), want: IsRevoked},
+		{name: "unknown and hard", shown: chain(good, mid), hard: true, status: is(Unknown, mid), want: RevocationUnknown},
+		{name: "nothing known and hard", shown: chain(good, mid), hard: true, want: RevocationUnknown},
+	} {
+		roots := x509.NewCertPool()
+		roots.AddCert(root.Certificate)
+		r := &Rule{Name: "pay", ServerName: "pay.example.org", Roots: roots, Pins: x.pins, Hard: x.hard}
+		if err := r.Check(); err != nil {
+			t.Fatal(err)
+		}
+		proof, f := r.Verify(x.shown, noon, x.status)
+		switch {
+		case (proof == nil) == (f == nil):
+			t.Errorf("%s: proof %v, failure %v", x.name, proof, f)
+		case f == nil && x.want != 0:
+			t.Errorf("%s: accepted", x.name)
+		case f != nil && f.Cause != x.want:
+			t.Errorf("%s: %v, want %s", x.name, f, x.want)
+		case proof != nil && !proof.Until.After(noon):
+			t.Errorf("%s: a proof until %s", x.name, proof.Until)
+		}
+	}
+}
+
+// A proof ends with the first certificate of its chain that does.
+func TestProofEndsWithTheFirst(t *testing.T) {
+	root := issue(t, nil, nil, authority)
+	mid := issue(t, root, nil, and(authority, func(c *x509.Certificate) { c.NotAfter = noon.Add(time.Minute) }))
+	roots := x509.NewCertPool()
+	roots.AddCert(root.Certificate)
+	r := &Rule{Name: "pay", ServerName: "pay.example.org", Roots: roots}
+	p, f := r.Verify([]*x509.Certificate{issue(t, mid, nil, nil).Certificate, mid.Certificate}, noon, nil)
+	if f != nil || !p.Until.Equal(noon.Add(time.Minute)) {
+		t.Errorf("%v, %v", p, f)
+	}
+}
+
+func TestRuleCheck(t *testing.T) {
+	pool := x509.NewCertPool()
+	for name, r := range map[string]*Rule{"no name": {Roots: pool}, "no roots": {ServerName: "a"},
+		"one pin": {ServerName: "a", Roots: pool, Pins: []Pin{{1}}}, "one pin twice": {ServerName: "a", Roots: pool, Pins: []Pin{{1}, {1}}}} {
+		if r.Check() == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	if err := (&Rule{ServerName: "a", Roots: pool, Pins: []Pin{{1}, {2}}}).Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+func FuzzParsePin(f *testing.F) {
+	f.Add(Pin{1, 2, 3}.String())
+	f.Add("")
+	f.Add("AAAA")
+	f.Fuzz(func(t *testing.T, s string) {
+		if p, err := ParsePin(s); err == nil && p.String() != s {
+			t.Errorf("%q becomes %s", s, p)
+		}
+	})
+}
