--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,241 @@
+// Package keys holds the certificates, private keys and roots of a site, as its
+// files have them: loaded whole or not at all, looked at again while the relay
+// serves, the last good ones kept when the new ones are bad.
+//
+// It owns the files' rules. It must never put a secret into an error or a log,
+// decide whom to trust, or let a half replaced pair be seen.
+package keys
+
+import (
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Bounds.
+const (
+	fileMost  = 1 << 20
+	certsMost = 1000
+	// Key and certificate are replaced one after the other: a pair that does not
+	// match is no error before that.
+	settle = 5 * time.Second
+)
+
+// Files are the paths of one set; an empty one is not wanted.
+type Files struct {
+	Cert  string // our own certificate, then those above it
+	Key   string // its private key, readable by its owner alone
+	Roots string // whom we trust
+}
+
+// Set is what the files held at one moment.
+type Set struct {
+	Own   *tls.Certificate // nil where none is named
+	Roots *x509.CertPool   // nil where none is named
+	Count int              // of roots
+	Until time.Time        // the end of our own certificate, zero without one
+}
+
+// Load reads a set, whole or not at all.
+func Load(f Files, now time.Time) (*Set, error) {
+	set, _, err := load(f, now)
+	return set, err
+}
+
+type print [sha256.Size]byte
+
+func load(f Files, now time.Time) (*Set, print, error) {
+	var all print
+	sum := sha256.New()
+	set := &Set{}
+	if (f.Cert == "") != (f.Key == "") {
+		return nil, all, errors.New("keys: certificate and key are named together or not at all")
+	}
+	if f.Cert != "" {
+		cert, err := read(f.Cert, false)
+		if err != nil {
+			return nil, all, err
+		}
+		key, err := read(f.Key, true)
+		if err != nil {
+			return nil, all, err
+		}
+		sum.Write(cert)
+		sum.Write(key)
+		defer clear(key)
+		copy(all[:], sum.Sum(nil))
+		if set.Own, err = pair(f, cert, key, now); err != nil {
+			return nil, all, err
+		}
+		set.Until = set.Own.Leaf.NotAfter
+	}
+	if f.Roots != "" {
+		text, err := read(f.Roots, false)
+		if err != nil {
+			return nil, all, err
+		}
+		sum.Write(text)
+		copy(all[:], sum.Sum(nil))
+		certs, err := parse(f.Roots, text)
+		if err != nil {
+			return nil, all, err
+		}
+		set.Roots = x509.NewCertPool()
+		for i, c := range certs {
+			if !c.IsCA {
+				return nil, all, fmt.Errorf("keys: %s: certificate %d (%s) is no authority", f.Roots, i+1, c.Subject)
+			}
+			set.Roots.AddCert(c)
+		}
+		set.Count = len(certs)
+	}
+	return set, all, nil
+}
+
+// errPair is a key that is not the certificate's: it may be about to be.
+var errPair = errors.New("the key is not the certificate's")
+
+// pair makes our own certificate of its parts.
+func pair(f Files, cert, key []byte, now time.Time) (*tls.Certificate, error) {
+	certs, err := parse(f.Cert, cert)
+	if err != nil {
+		return nil, err
+	}
+	leaf := certs[0]
+	switch {
+	case leaf.IsCA && len(certs) > 1:
+		return nil, fmt.Errorf("keys: %s: an authority (%s) comes first; our own certificate belongs there", f.Cert, leaf.Subject)
+	case now.Before(leaf.NotBefore):
+		return nil, fmt.Errorf("keys: %s: valid from %s on", f.Cert, leaf.NotBefore.UTC().Format(time.RFC3339))
+	case !now.Before(leaf.NotAfter):
+		return nil, fmt.Errorf("keys: %s: valid until %s", f.Cert, leaf.NotAfter.UTC().Format(time.RFC3339))
+	}
+	for i := range certs[1:] { // RFC 8446 section 4.4.2: each certifies the one before
+		if err := certs[i].CheckSignatureFrom(certs[i+1]); err != nil {
+			return nil, fmt.Errorf("keys: %s: certificate %d does not certify the one before it", f.Cert, i+2)
+		}
+	}
+	own, err := tls.X509KeyPair(cert, key)
+	if err != nil {
+		// The library's words are not passed on: they are of what the key file
+		// holds.
+		if block, _ := pem.Decode(key); block == nil {
+			return nil, fmt.Errorf("keys: %s: no PEM in it", f.Key)
+		}
+		return nil, fmt.Errorf("keys: %s: %w", f.Key, errPair)
+	}
+	own.Leaf = leaf
+	return &own, nil
+}
+
+// parse reads the certificates of a file.
+func parse(path string, text []byte) (certs []*x509.Certificate, err error) {
+	for n := 1; ; n++ {
+		block, rest := pem.Decode(text)
+		if block == nil {
+			break
+		}
+		text = rest
+		if block.Type != "CERTIFICATE" {
+			return nil, fmt.Errorf("keys: %s: block %d is no certificate", path, n)
+		}
+		c, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, fmt.Errorf("keys: %s: certificate %d: %w", path, n, err)
+		}
+		if certs = append(certs, c); len(certs) > certsMost {
+			return nil, fmt.Errorf("keys: %s: more than %d certificates", path, certsMost)
+		}
+	}
+	if len(certs) == 0 {
+		return nil, fmt.Errorf("keys: %s: no certificate in it", path)
+	}
+	return certs, nil
+}
+
+// read reads a file; a secret one must be its owner's alone.
+func read(path string, secret bool) ([]byte, error) {
+	// A pipe in a file's place would hold up whoever opens it.
+	file, err := os.OpenFile(path, os.O_RDONLY|syscall.O_NONBLOCK, 0)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	defer file.Close()
+	info, err := file.Stat()
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("keys: %w", err)
+	case !info.Mode().IsRegular():
+		return nil, fmt.Errorf("keys: %s: no regular file", path)
+	case secret && info.Mode().Perm()&0o077 != 0:
+		return nil, fmt.Errorf("keys: %s: mode %04o: others than its owner may use it, want 0600", path, info.Mode().Perm())
+	}
+	text, err := io.ReadAll(io.LimitReader(file, fileMost+1))
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	if len(text) > fileMost {
+		return nil, fmt.Errorf("keys: %s: over %d bytes", path, fileMost)
+	}
+	return text, nil
+}
+
+// Store keeps a set and looks whether its files have changed.
+type Store struct {
+	files Files
+	now   atomic.Pointer[Set]
+	last  print     // of the set in use
+	said  string    // the last error that was told
+	odd   time.Time // since when the pair does not match
+}
+
+// Open loads the first set, which must be good.
+func Open(f Files, now time.Time) (*Store, error) {
+	set, p, err := load(f, now)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{files: f, last: p}
+	s.now.Store(set)
+	return s, nil
+}
+
+// Current is the set in use, for any goroutine.
+func (s *Store) Current() *Set { return s.now.Load() }
+
+// Look reads the files again. changed tells that another set is in use from here
+// on; an error why what the files hold now is not, told once.
+// One goroutine calls it.
+func (s *Store) Look(now time.Time) (changed bool, err error) {
+	set, p, err := load(s.files, now)
+	if err == nil {
+		s.odd, s.said = time.Time{}, ""
+		if p == s.last {
+			return false, nil
+		}
+		s.last = p
+		s.now.Store(set)
+		return true, nil
+	}
+	if errors.Is(err, errPair) {
+		if s.odd.IsZero() {
+			s.odd = now
+		}
+		if now.Sub(s.odd) < settle {
+			return false, nil // the other file may come yet
+		}
+	}
+	if err.Error() == s.said {
+		return false, nil
+	}
+	s.said = err.Error()
+	return false, err
+}
