--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -442,6 +442,35 @@
 	return sum
 }
 
+// The old process is told to end in the middle of it, or has been already: the
+// new one takes over what it holds and has out.
+func TestUpgradeOfOneThatEnds(t *testing.T) {
+	release := make(chan struct{})
+	slow := newFakeEndpoint(t, func(w http.ResponseWriter, r *http.Request, _ int) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	disc := newFakeDiscovery(t, slow.member("s-1", 1), drainingMember("s-0", 5))
+	env := testConfig(t, disc, 3)
+	old := firstOf(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	for id, dest := range map[string]int{"out": 1, "held": 5} {
+		if s := cl.put(id, fields("once", 20000, dest), nil); s != "+OK" {
+			t.Fatalf("%s: %s", id, s)
+		}
+	}
+	waitFor(t, "the call", func() bool { return slow.count("out") == 1 })
+	old.cmd.Process.Signal(syscall.SIGTERM)
+	fresh := upgrade(t, old)
+	close(release)
+	waitFor(t, "the call's end", func() bool { return figures(t, fresh.console())["answered.once"] == 1 })
+	if n, held := slow.count("out"), figures(t, fresh.console())["current"]; n != 1 || held != 1 {
+		t.Errorf("went out %d times, %d held", n, held)
+	}
+}
+
 // Where an older program serves, which knows nothing of the lock, a new one
 // ends at once, and does not touch its log.
 func TestOlderProgramServes(t *testing.T) {
