The lock passes over in one piece: no third process can come between

Cause: two new processes started at once ended with exit 1 for one of them, in one of some twenty tries on two cores under the race detector: the old process let the lock go, and the second new one had it before the first. Ruled out: the log (the address was tried first, so nothing was touched) and the link, which was whole.

Change: the giver passes the descriptor that holds the lock (SCM_RIGHTS); both hold it until the giver hears that the work is the other's, and each closes its part and never unlocks it. Rejected: a second lock for who may ask, which leaves the same moment on the first.

--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -30,7 +30,7 @@
 
 const (
 	lockName   = "relay.lock"
-	linkForm   = 1 // of what goes over the link
+	linkForm   = 2 // of what goes over the link
 	claimWait  = 5500 * time.Millisecond
 	quietWait  = time.Second            // for requests to be answered
 	parkWait   = 600 * time.Millisecond // for calls whose answer has begun
@@ -50,6 +50,7 @@
 	pktState   = 'S' // handed
 	pktListen  = 'L' // descriptors of listeners
 	pktConns   = 'C' // []front.Held, with a descriptor each
+	pktLock    = 'F' // the descriptor that holds the lock
 	pktCalls   = 'K' // []string, the messages, with a descriptor each
 	pktEnd     = 'E'
 	pktMine    = 'M'
@@ -73,6 +74,7 @@
 	listeners []int
 	conns     []front.Held
 	calls     map[string]int // a descriptor for each message whose call is out
+	lock      *os.File       // as the giver has it: one lock, held by both
 	link      *link.Link
 }
 
@@ -87,6 +89,9 @@
 	for _, fd := range h.calls {
 		syscall.Close(fd)
 	}
+	if h.lock != nil {
+		h.lock.Close()
+	}
 	if h.link != nil {
 		h.link.Close()
 	}
@@ -104,16 +109,18 @@
 
 // stateLock is the lock on the state folder.
 type stateLock struct {
+	path string
 	file *os.File
 	held bool
 }
 
 func openLock(dir string) (*stateLock, error) {
-	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+	path := filepath.Join(dir, lockName)
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("lock: %w", err)
 	}
-	return &stateLock{file: f}, nil
+	return &stateLock{path: path, file: f}, nil
 }
 
 // try takes the lock if nobody has it.
@@ -122,11 +129,24 @@
 	return l.held
 }
 
-func (l *stateLock) release() {
-	if l.held {
-		l.held = false
-		syscall.Flock(int(l.file.Fd()), syscall.LOCK_UN)
+// adopt has the lock in the form in which another process holds it as well: it
+// is free once both have closed it.
+func (l *stateLock) adopt(f *os.File) {
+	l.file.Close()
+	l.file, l.held = f, true
+}
+
+// leave gives up this process's part in the lock. It is closed and not
+// unlocked: the other process may hold it, too.
+func (l *stateLock) leave() error {
+	l.file.Close()
+	l.held = false
+	f, err := os.OpenFile(l.path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return fmt.Errorf("lock: %w", err)
 	}
+	l.file = f
+	return nil
 }
 
 func (l *stateLock) close() { l.file.Close() }
@@ -172,13 +192,12 @@
 			}
 			do = t.Step(takeover.Whole)
 		case takeover.Lock:
-			for !r.lock.try() && time.Now().Before(end) {
-				time.Sleep(lockPause)
-			}
-			if !r.lock.held {
+			if h.lock == nil {
 				do = t.Step(takeover.TooLate)
 				break
 			}
+			r.lock.adopt(h.lock)
+			h.lock = nil
 			do = t.Step(takeover.Locked)
 		case takeover.SayMine:
 			if err := h.link.Send(pktMine, nil, time.Now().Add(sendWait)); err != nil {
@@ -191,7 +210,9 @@
 			return h, nil
 		case takeover.LookAgain:
 			h.close()
-			r.lock.release()
+			if err := r.lock.leave(); err != nil {
+				return nil, err
+			}
 			if !time.Now().Before(end) {
 				return nil, fmt.Errorf("%s: another process owns it and does not hand over: %w", r.cfg.State, why)
 			}
@@ -273,6 +294,11 @@
 		if err := json.Unmarshal(body, &h.handed); err != nil || h.Core == nil {
 			return wrong(err)
 		}
+	case pktLock:
+		if len(fds) != 1 || h.lock != nil {
+			return wrong(fmt.Errorf("%d descriptors", len(fds)))
+		}
+		h.lock = os.NewFile(uintptr(fds[0]), lockName)
 	case pktListen:
 		h.listeners = append(h.listeners, fds...)
 	case pktConns:
@@ -387,12 +413,14 @@
 				do = g.Step(takeover.Broken)
 				break
 			}
-			r.lock.release()
 			g.Step(takeover.Sent)
 			do = r.hear(t.link, &g, takeover.SaidMine, pktMine, mineWait)
 		case takeover.LetGo:
 			r.log.Info("hand-over: it is the other's", "took_ms", time.Since(began).Milliseconds(), "held", r.core.Held())
 			r.letGo(cl)
+			if err := r.lock.leave(); err != nil {
+				return err
+			}
 			do = r.hear(t.link, &g, takeover.SaidServes, pktServing, servesWait)
 		case takeover.TryLock:
 			switch {
@@ -408,8 +436,7 @@
 			r.goOnAsBefore(cl)
 			return nil
 		case takeover.StartAnew:
-			r.lock.release()
-			return ErrStartAnew
+			return ErrStartAnew // which lets the lock go
 		case takeover.End:
 			return errGiven
 		default:
@@ -550,6 +577,9 @@
 			return err
 		}
 	}
+	if err := l.Send(pktLock, nil, by, int(r.lock.file.Fd())); err != nil {
+		return err
+	}
 	r.log.Info("hand-over: sent", "held", r.core.Held(), "calls", len(ids), "clients", len(conns))
 	return l.Send(pktEnd, nil, by)
 }
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -7,7 +7,7 @@
 //
 // Ownership is a lock on a file of the state folder, which the system takes
 // from a process that dies: who holds it may write the log, begin calls and
-// send notices, and nobody else. The giver lets it go once all it has lies in
+// send notices, and nobody else. The giver shares it once all it has lies in
 // the log or is on its way; the taker says Mine once it holds it, and does
 // nothing before. So a giver that hears of the taker's end knows by the lock
 // and that one word which of the two things is true: the taker never began, and
@@ -24,7 +24,7 @@
 	owning   giverState = iota // nobody is asking
 	stilling                   // asked: what is under way comes to rest
 	giving                     // at rest: all is being sent
-	released                   // sent, the lock let go
+	released                   // sent, the lock shared
 	given                      // the taker said that it is its own
 	over                       // and that it serves; or this process is to end
 )
@@ -37,8 +37,8 @@
 	Asked      GiverEvent = iota + 1 // a taker is ready to take
 	Still                            // all is at rest, and the log on disk
 	NotStill                         // it did not come to rest in time
-	Sent                             // everything is on its way, the lock let go
-	SaidMine                         // the taker holds the lock
+	Sent                             // everything is on its way, a part in the lock as well
+	SaidMine                         // the taker holds the lock; this side gives up its part
 	SaidServes                       // the taker serves
 	Broken                           // the taker is gone, or silent for too long
 	LockBack                         // the lock was had again
@@ -52,7 +52,7 @@
 const (
 	GiverNothing GiverDo = iota
 	Quiet                // bring everything to rest
-	Send                 // send all, then let the lock go
+	Send                 // send all, and a part in the lock
 	TryLock              // see whether the lock can be had
 	GoOnAsBefore         // with what is in memory
 	StartAnew            // from the log, as after a kill
@@ -156,7 +156,7 @@
 	StartAlone           // from the log; nobody else is there
 	Connect              // to the giver
 	AskForAll            // tell it to bring all to rest
-	Lock                 // wait for the lock
+	Lock                 // it has come with the rest
 	SayMine
 	TakeUp    // what has come, and the log
 	SayServes // and answer yes
@@ -206,7 +206,7 @@
 			return TakeUp
 		case GiverGone, TooLate:
 			// It may have taken the work back in the moment before: nothing was
-			// begun here, and the lock goes with this process's end or is let go.
+			// begun here, and this side gives up its part in the lock.
 			t.state = looking
 			return LookAgain
 		}
