--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -55,6 +55,16 @@
 	return err == nil && strings.HasPrefix(s, "YES")
 }
 
+// putOnce hands in unsafe messages for destinations, which must be taken on.
+func putOnce(t *testing.T, cl *testClient, dests map[string]int) {
+	t.Helper()
+	for id, dest := range dests {
+		if s := cl.put(id, fields("once", 20000, dest), nil); s != "+OK" {
+			t.Fatalf("%s: %s", id, s)
+		}
+	}
+}
+
 // upgrade starts a process beside another and waits until it has taken over.
 func upgrade(t *testing.T, old *child) *child {
 	t.Helper()
@@ -106,11 +116,7 @@
 	env := testConfig(t, disc, 3)
 	old := firstOf(t, env)
 	cl, half := dialClient(t, env["ROUTER_LISTEN"]), dialClient(t, env["ROUTER_LISTEN"])
-	for id, dest := range map[string]int{"out": 1, "wait": 3, "busy": 4} {
-		if s := cl.put(id, fields("once", 20000, dest), nil); s != "+OK" {
-			t.Fatalf("%s: %s", id, s)
-		}
-	}
+	putOnce(t, cl, map[string]int{"out": 1, "wait": 3, "busy": 4})
 	if s := cl.put("held", fields("plain", 20000, 5), []byte("body")); s != "+OK" { // nobody serves 5 yet
 		t.Fatal(s)
 	}
@@ -343,11 +349,7 @@
 	env := testConfig(t, disc, 3)
 	old := firstOf(t, env)
 	cl := dialClient(t, env["ROUTER_LISTEN"])
-	for id, dest := range map[string]int{"out": 1, "held": 5} {
-		if s := cl.put(id, fields("once", 20000, dest), nil); s != "+OK" {
-			t.Fatalf("%s: %s", id, s)
-		}
-	}
+	putOnce(t, cl, map[string]int{"out": 1, "held": 5})
 	waitFor(t, "the call", func() bool { return slow.count("out") == 1 })
 	k := newTaker(t, env["ROUTER_STATE"])
 	k.receive(1000)
@@ -378,11 +380,7 @@
 	env := testConfig(t, disc, 3)
 	old := firstOf(t, env)
 	cl := dialClient(t, env["ROUTER_LISTEN"])
-	for id, dest := range map[string]int{"out": 1, "held": 5} {
-		if s := cl.put(id, fields("once", 20000, dest), nil); s != "+OK" {
-			t.Fatalf("%s: %s", id, s)
-		}
-	}
+	putOnce(t, cl, map[string]int{"out": 1, "held": 5})
 	waitFor(t, "the call", func() bool { return slow.count("out") == 1 })
 	old.cmd.Process.Signal(syscall.SIGSTOP) // it answers nothing
 	fresh := another(t, env)
@@ -457,11 +455,7 @@
 	env := testConfig(t, disc, 3)
 	old := firstOf(t, env)
 	cl := dialClient(t, env["ROUTER_LISTEN"])
-	for id, dest := range map[string]int{"out": 1, "held": 5} {
-		if s := cl.put(id, fields("once", 20000, dest), nil); s != "+OK" {
-			t.Fatalf("%s: %s", id, s)
-		}
-	}
+	putOnce(t, cl, map[string]int{"out": 1, "held": 5})
 	waitFor(t, "the call", func() bool { return slow.count("out") == 1 })
 	old.cmd.Process.Signal(syscall.SIGTERM)
 	fresh := upgrade(t, old)
