--- a/decide/api.go
+++ b/decide/api.go
@@ -153,6 +153,7 @@
 	EvWithdraw                  // nobody wants the message any more: Message
 	EvTimer                     // a timer has come: Token
 	EvProbed                    // a probe was answered: Endpoint, Outcome, Took, Load
+	EvBarred                    // an endpoint's identity is not proved: nothing goes there for Wait; 0 lifts it: Endpoint, Wait
 )
 
 // ListNews says what an EvList holds.
@@ -184,6 +185,7 @@
 	Dest     int
 	State    Readiness
 	Rate     float64 // calls a second that the destination (the route, where apart) takes from all relays
+	Opening  float64 // what opening a connection there takes of it, in calls; 0 where that costs nothing
 }
 
 // Outcome is how an attempt or a probe ended.
@@ -250,7 +252,7 @@
 
 // Kinds of action, each with the fields of Action that it uses.
 const (
-	ActSend    ActionKind = iota // Message, Endpoint, At (the moment it times out)
+	ActSend    ActionKind = iota // Message, Endpoint, At (the moment it times out), Cold
 	ActRefuse                    // Message, After (advice to the client)
 	ActFail                      // Message
 	ActCancel                    // Message, Attempt
@@ -266,6 +268,7 @@
 // Action is something that the policy asks of its relay.
 type Action struct {
 	Kind     ActionKind
+	Cold     bool // ActSend: the endpoint is held to be cold: one connection is opened there at a time
 	Attempt  int
 	Message  uint32
 	Endpoint Endpoint
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -67,6 +67,8 @@
 			p.admit(e)
 		case EvOutcome:
 			p.outcome(e)
+		case EvBarred:
+			p.bar(e)
 		case EvBegun, EvWithdraw:
 			m := p.msgs[e.Message]
 			if m != nil && (e.Kind == EvWithdraw || m.call != nil && e.Attempt == m.tries-1) {
@@ -108,7 +110,7 @@
 		case ep == nil:
 			ep = p.join(x)
 		}
-		ep.state, ep.zone = x.State, x.Zone
+		ep.state, ep.zone, ep.opening = x.State, x.Zone, x.Opening
 		if p.set.RatesListed && x.Rate > 0 {
 			ep.lane.nominal = x.Rate
 		}
@@ -163,6 +165,42 @@
 	return ep
 }
 
+// bar takes word that an endpoint's identity is not proved, or is again. The next message cannot mend it, so
+// none is spent on asking: what cannot wait for the next proof is ended now, with the time to come back.
+func (p *Policy) bar(e *Event) {
+	ep := p.eps[e.Endpoint]
+	if ep == nil {
+		return
+	}
+	ep.barred = p.now + max(e.Wait, 0)
+	p.touch(ep.lane.dest)
+	for _, m := range slices.Clone(ep.lane.dest.queue) {
+		p.barredOut(m)
+	}
+}
+
+// barredOut ends a message whose destination proves itself again after its deadline at the soonest.
+func (p *Policy) barredOut(m *message) {
+	if m.call == nil && p.proved(m.dest) >= m.deadline-p.margin() {
+		p.end(m)
+	}
+}
+
+// proved is when some endpoint of a destination may be asked again: at once where one is not barred or none
+// is known.
+func (p *Policy) proved(d *dest) Time {
+	at := Time(math.MaxInt64)
+	for _, l := range d.lanes {
+		for _, ep := range l.eps {
+			at = min(at, ep.barred)
+		}
+	}
+	if at <= p.now || at == math.MaxInt64 {
+		return 0
+	}
+	return at
+}
+
 // ---- admit and hold
 
 // admit takes a message into the queue of its destination.
@@ -208,6 +246,7 @@
 		}
 		l.turns = append(l.turns, m)
 	}
+	p.barredOut(m)
 }
 
 // value is what a message is worth if it is delivered then.
@@ -292,7 +331,7 @@
 	if p.refusable(m) {
 		a := Action{Kind: ActRefuse, Message: m.id}
 		if p.set.RetryAfter {
-			a.After = min(p.drain(m.dest), p.set.MaxRetryAfter)
+			a.After = min(max(p.drain(m.dest), p.proved(m.dest)-p.now), p.set.MaxRetryAfter)
 		}
 		p.act(a)
 	} else {
@@ -441,6 +480,9 @@
 	} else {
 		*t -= *t / tightSpan
 	}
+	if ep.opening > 0 && (e.Outcome == TimedOut || e.Outcome == Reset || e.Outcome == Cancelled) {
+		ep.conns = ep.flying // its connection went with it, and idle ones may have
+	}
 	switch e.Outcome {
 	case Delivered:
 		l.hist.accept(p.now)
@@ -484,6 +526,10 @@
 	case NoConnect:
 		ep.conns = ep.flying
 		p.failed(ep, c.sent, true)
+	case NotSent:
+		if e.Wait > 0 { // no connection could be opened by then, for reasons of our own
+			l.pauseUntil = max(l.pauseUntil, p.now+e.Wait)
+		}
 	case Errored, Reset:
 		p.failed(ep, c.sent, false)
 	}
@@ -561,16 +607,20 @@
 	return b / fall, depth
 }
 
+// rests: it failed, and the verdict is not in.
+func (p *Policy) rests(ep *endpoint) bool { return !ep.sick && ep.restUntil > p.now }
+
 // mayCall: every guard on an endpoint, whoever asks.
 func (p *Policy) mayCall(ep *endpoint) bool {
-	if ep.state != Ready || ep.lane.waitUntil > p.now || !ep.sick && ep.restUntil > p.now {
+	if ep.state != Ready || ep.barred > p.now || ep.lane.waitUntil > p.now || p.rests(ep) {
 		return false
 	}
 	rate, depth := p.budgetRate(ep)
 	if !ep.sick || ep.goodAt == 0 && ep.mute && ep.flying > 0 {
 		return !ep.sick // what does not answer would pin a slot for each trial
 	}
-	return ep.budget.level(p.now, rate, max(depth, ep.need)) >= ep.need
+	need := ep.need + p.opening(ep)
+	return ep.budget.level(p.now, rate, max(depth, need)) >= need
 }
 
 // patience is how long a call usually takes there at most.
@@ -605,12 +655,22 @@
 // then needs a random amount with the same mean.
 func (p *Policy) spend(ep *endpoint) {
 	rate, depth := p.budgetRate(ep)
-	ep.budget.take(p.now, ep.need, rate, max(depth, ep.need))
+	need := ep.need + p.opening(ep)
+	ep.budget.take(p.now, need, rate, max(depth, need))
 	if ep.need = 1; depth < 1 {
 		ep.need = p.rng.ExpFloat64()
 	}
 }
 
+// opening is what the next call there costs beside itself, in calls: a connection that must be opened first
+// is work at the destination, and is paid for like work, out of the same budget and at the same pace.
+func (p *Policy) opening(ep *endpoint) float64 {
+	if ep.flying < ep.conns*p.set.Streams {
+		return 0
+	}
+	return ep.opening
+}
+
 // ---- throttle, window and pace
 
 // capacity is the calls a second that the lane takes from all relays, by report, list or observation.
@@ -845,10 +905,11 @@
 	for _, l := range d.lanes {
 		t := max(l.pauseUntil, l.waitUntil, l.tokens.when(p.now, 1, p.pace(l), p.depth(l)))
 		for _, ep := range l.eps {
-			at := max(t, ep.restUntil)
+			at := max(t, ep.restUntil, ep.barred)
 			if ep.sick {
 				r, depth := p.budgetRate(ep)
-				at = max(at, ep.budget.when(p.now, ep.need, r, max(depth, ep.need)))
+				need := ep.need + p.opening(ep)
+				at = max(at, ep.budget.when(p.now, need, r, max(depth, need)))
 			}
 			if at > p.now {
 				next = min(next, at)
@@ -890,6 +951,7 @@
 	if c.left == 0 {
 		return
 	}
+	l.tokens.tokens -= p.opening(ep) // paid back before the next
 	p.spend(ep)
 	if p.set.Cancels {
 		p.review(c)
@@ -913,7 +975,7 @@
 	m.tries++
 	c.left++
 	c.msgs = append(c.msgs, m)
-	p.act(Action{Kind: ActSend, Message: m.id, Endpoint: c.ep.id, At: p.cutAt(m, c.ep)})
+	p.act(Action{Kind: ActSend, Message: m.id, Endpoint: c.ep.id, At: p.cutAt(m, c.ep), Cold: c.ep.sick})
 }
 
 // cutAt is when an attempt times out.
--- a/decide/state.go
+++ b/decide/state.go
@@ -92,6 +92,8 @@
 	budget    bucket
 	need      float64 // what the next call takes out of the budget
 	mute      bool    // the last failure was a silence, not an answer
+	opening   float64 // what a connection takes, in calls
+	barred    Time    // until then its identity is not proved
 	lat       latency
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,6 +40,9 @@
 	Kinds   map[string]int
 	Classes map[string]int
 	Tenants map[string]int
+	// Opening is what a connection to a destination of a flavour takes there,
+	// in calls; nil where that costs nothing anywhere. It must not change.
+	Opening func(dest int, flavor string) float64
 }
 
 // Request is a message that a client hands in. It is answered once.
@@ -55,6 +58,7 @@
 	Rec      *Record // of its message
 	Endpoint decide.Endpoint
 	Limit    decide.Time // how long it may take
+	Cold     bool        // at an endpoint where one connection is opened at a time
 	Handle   any         // the driver's
 
 	m       *message
@@ -91,6 +95,7 @@
 	Finished                      // Call, Result
 	Unsent                        // Call: its attempt could not be logged
 	Probed                        // Endpoint, Result
+	Barred                        // Endpoint, Wait: its identity is not proved; 0 where it is again
 	Stop                          // the relay is to end
 )
 
@@ -103,6 +108,7 @@
 	News     decide.ListNews
 	Call     *Call
 	Endpoint decide.Endpoint
+	Wait     decide.Time
 	Result   *Result
 }
 
@@ -123,7 +129,7 @@
 	Cancel                              // Call
 	Leave                               // Call: its endpoint leaves; not begun after this
 	Probe                               // Endpoint
-	Open                                // Endpoint, Address: calls may come there
+	Open                                // Endpoint, Address, Dest, Flavor: calls may come there
 	Shut                                // Endpoint: nothing is kept there, nothing new begun
 	CloseIdle                           // Endpoint: its idle connections are of no more use
 	Forget                              // Endpoint
@@ -148,6 +154,8 @@
 	Notice   Notice
 	Endpoint decide.Endpoint
 	Address  string
+	Dest     int
+	Flavor   string
 	Level    slog.Level
 	Text     string
 	Args     []any
@@ -175,6 +183,7 @@
 	cell      int
 	zone      int
 	hostPort  string
+	flavor    string
 	open      bool   // the driver has a place for its connections
 	member    Member // as the list last had it
 	listed    bool   // the list holds it, draining maybe
@@ -436,6 +445,8 @@
 	case Probed:
 		r.events = append(r.events, decide.Event{Kind: decide.EvProbed, Endpoint: e.Endpoint,
 			Outcome: e.Result.What, Took: e.Result.Took, Load: e.Result.Load})
+	case Barred:
+		r.events = append(r.events, decide.Event{Kind: decide.EvBarred, Endpoint: e.Endpoint, Wait: e.Wait})
 	case Stop:
 		if !r.stopping {
 			r.stopping, r.stopAt = true, r.now
@@ -587,21 +598,24 @@
 		r.byID[x.ID], r.byNum[ep.num] = ep, ep
 		r.endpoints = append(r.endpoints, ep)
 	}
-	if x.Phase != Removed && (ep.hostPort != x.HostPort || ep.cell != x.Cell) {
-		// It moved under its old name: nothing more goes to the old place.
+	if x.Phase != Removed && (ep.hostPort != x.HostPort || ep.cell != x.Cell || ep.flavor != x.Flavor && r.set.Opening != nil) {
+		// It moved under its old name, or is to prove itself in another way:
+		// nothing more goes to the old place.
 		r.leave(ep)
-		ep.hostPort, ep.cell = x.HostPort, x.Cell
+		ep.hostPort, ep.cell, ep.flavor = x.HostPort, x.Cell, x.Flavor
 	}
 	if x.Phase == Up && (!ep.open || ep.gone) {
 		ep.open = true
-		r.do(Effect{Kind: Open, Endpoint: ep.num, Address: ep.hostPort})
+		r.do(Effect{Kind: Open, Endpoint: ep.num, Address: ep.hostPort, Dest: ep.cell, Flavor: x.Flavor})
 	}
 	if x.Phase != Removed {
 		r.named[x.Cell] = true
 	}
 	entry := decide.Entry{Endpoint: ep.num, Zone: place(r.set.Zones, x.Locality), Kind: place(r.set.Kinds, x.Flavor),
 		Dest: x.Cell, State: decide.Ready, Rate: x.Size}
-	ep.zone = entry.Zone
+	if ep.zone = entry.Zone; r.set.Opening != nil {
+		entry.Opening = r.set.Opening(x.Cell, x.Flavor)
+	}
 	if ep.listed = x.Phase != Removed; ep.listed {
 		ep.member = *x
 	}
@@ -771,7 +785,7 @@
 		r.notSent(m, a.Endpoint)
 		return
 	}
-	c := &Call{Rec: m.rec, Endpoint: ep.num, Limit: limit, m: m, ep: ep, attempt: m.tries - 1, sent: r.now}
+	c := &Call{Rec: m.rec, Endpoint: ep.num, Limit: limit, Cold: a.Cold, m: m, ep: ep, attempt: m.tries - 1, sent: r.now}
 	m.call = c
 	ep.calls = append(ep.calls, c)
 	r.calls++
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -1,4 +1,4 @@
-// Package keys holds the certificates, private keys and roots of a site, as its
+// Package keys holds the certificates, private keys, roots and revocation lists of a site, as its
 // files have them: loaded whole or not at all, looked at again while the relay
 // serves, the last good ones kept when the new ones are bad.
 //
@@ -18,6 +18,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"troutusher/internal/tlspolicy"
 )
 
 // Bounds.
@@ -34,6 +36,7 @@
 	Cert  string // our own certificate, then those above it
 	Key   string // its private key, readable by its owner alone
 	Roots string // whom we trust
+	Lists string // revocation lists, in PEM (RFC 7468 section 7) or one in DER
 }
 
 // Set is what the files held at one moment.
@@ -42,6 +45,9 @@
 	Roots *x509.CertPool   // nil where none is named
 	Count int              // of roots
 	Until time.Time        // the end of our own certificate, zero without one
+	Lists *tlspolicy.Lists // nil where none is named
+
+	RootsSum, OwnSum []byte // what stands for them where sessions are told apart
 }
 
 // Load reads a set, whole or not at all.
@@ -76,6 +82,8 @@
 			return nil, all, err
 		}
 		set.Until = set.Own.Leaf.NotAfter
+		own := sha256.Sum256(cert)
+		set.OwnSum = own[:]
 	}
 	if f.Roots != "" {
 		text, err := read(f.Roots, false)
@@ -96,6 +104,19 @@
 			set.Roots.AddCert(c)
 		}
 		set.Count = len(certs)
+		roots := sha256.Sum256(text)
+		set.RootsSum = roots[:]
+	}
+	if f.Lists != "" {
+		text, err := read(f.Lists, false)
+		if err != nil {
+			return nil, all, err
+		}
+		sum.Write(text)
+		copy(all[:], sum.Sum(nil))
+		if set.Lists, err = revocations(f.Lists, text); err != nil {
+			return nil, all, err
+		}
 	}
 	return set, all, nil
 }
@@ -161,6 +182,29 @@
 	return certs, nil
 }
 
+// revocations reads the revocation lists of a file.
+func revocations(path string, text []byte) (*tlspolicy.Lists, error) {
+	var der [][]byte
+	for rest := text; ; {
+		var block *pem.Block
+		if block, rest = pem.Decode(rest); block == nil {
+			break
+		}
+		if block.Type != "X509 CRL" {
+			return nil, fmt.Errorf("keys: %s: block %d is no revocation list", path, len(der)+1)
+		}
+		der = append(der, block.Bytes)
+	}
+	if len(der) == 0 {
+		der = [][]byte{text}
+	}
+	l, err := tlspolicy.NewLists(der...)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %s: %w", path, err)
+	}
+	return l, nil
+}
+
 // read reads a file; a secret one must be its owner's alone.
 func read(path string, secret bool) ([]byte, error) {
 	// A pipe in a file's place would hold up whoever opens it.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -3,15 +3,20 @@
 // the platform wants it.
 //
 // It owns the keys, their bounds and their errors. It must never decide what a
-// setting does, and has no default of its own: zero means "not set".
+// setting does, nor read what the files hold that it names.
 package operator
 
 import (
+	"cmp"
+	"crypto/x509"
 	"math"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
+	"troutusher/internal/keys"
+	"troutusher/internal/tlspolicy"
 	"troutusher/internal/tomlfile"
 )
 
@@ -20,7 +25,53 @@
 
 // File is the whole file.
 type File struct {
-	Clients Clients `toml:"clients"`
+	Clients    Clients    `toml:"clients"`
+	TLS        []TLS      `toml:"tls"`
+	Handshakes Handshakes `toml:"handshakes"`
+}
+
+// TLS is a rule for partners that are called over TLS.
+type TLS struct {
+	// Name stands in logs and figures.
+	Name string `toml:"name"`
+	// Destinations by number, and Flavors of destinations, that the rule is for.
+	Destinations []int    `toml:"destinations"`
+	Flavors      []string `toml:"flavors"`
+	// ServerName is sent as SNI, and what a certificate must name (RFC 6125).
+	ServerName string `toml:"server_name"`
+	// Roots is a PEM file with the authorities that are trusted; no other is.
+	Roots string `toml:"roots"`
+	// Pins are SHA-256 sums of public keys in base64 (RFC 7469 section 2.4), one
+	// of which must be in the chain; two at least, or none.
+	Pins []string `toml:"pins"`
+	// Certificate and Key are PEM files with what is shown to the partner.
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	// Revocations is a file with revocation lists (RFC 5280 section 5).
+	Revocations string `toml:"revocations"`
+	// UnknownRevocation is "accept" or "refuse": what holds where neither a
+	// staple nor a list tells of a certificate.
+	UnknownRevocation string `toml:"unknown_revocation"`
+	// MinVersion is "1.2" or "1.3".
+	MinVersion string `toml:"min_version"`
+	// Weight is what a handshake takes at the partner, in calls.
+	Weight *float64 `toml:"handshake_weight"`
+	// WarnDays is how long before its end a certificate is told of.
+	WarnDays int `toml:"warn_days"`
+}
+
+// Handshakes is what handshakes may take, of all partners together.
+type Handshakes struct {
+	// Share of one core, above 0 and 1 at most.
+	Share float64 `toml:"share"`
+	// BurstMS is how much processor time they may take at once.
+	BurstMS float64 `toml:"burst_ms"`
+	// Parallel is how many to one endpoint may be under way.
+	Parallel int `toml:"parallel"`
+	// TimeoutS is how long one may take.
+	TimeoutS float64 `toml:"timeout_s"`
+	// Sessions is how many sessions are kept for resumption; -1 for none.
+	Sessions int `toml:"sessions"`
 }
 
 // Clients is what concerns the connections of clients.
@@ -115,5 +166,151 @@
 		}
 		seen[addr] = true
 	}
+	f.checkTLS(check)
 	return f, check.Err()
 }
+
+// Bounds of what concerns TLS.
+const (
+	rulesMost     = 200
+	nameMost      = 40
+	weightMost    = 100
+	warnMost      = 365
+	burstMost     = 1000 // ms
+	parallelMost  = 64
+	timeoutLeast  = 0.1 // s
+	timeoutMost   = 30  // s
+	sessionsMost  = 1 << 16
+	defaultWarn   = 14
+	defaultWeight = 1
+)
+
+func (f *File) checkTLS(check *tomlfile.Checker) {
+	if len(f.TLS) > rulesMost {
+		check.Wrong("tls", "%d rules, want %d at most", len(f.TLS), rulesMost)
+		return
+	}
+	targets := make([]tlspolicy.Target, 0, len(f.TLS))
+	names := map[string]bool{}
+	for i := range f.TLS {
+		x := &f.TLS[i]
+		key := func(k string) string { return "tls[" + strconv.Itoa(i) + "]." + k }
+		switch {
+		case x.Name == "":
+			check.Wrong(key("name"), "missing")
+		case len(x.Name) > nameMost || strings.ContainsFunc(x.Name, func(r rune) bool { return !strings.ContainsRune(nameRunes, r) }):
+			check.Wrong(key("name"), "%.60q, want %d small letters, digits, - and _ at most", x.Name, nameMost)
+		case names[x.Name]:
+			check.Wrong(key("name"), "%q is named twice", x.Name)
+		}
+		names[x.Name] = true
+		rule, err := x.Rule()
+		if err != nil {
+			check.Wrong(key("pins"), "%v", err)
+		}
+		rule.Roots = x509.NewCertPool() // the files are read later
+		if err := rule.Check(); err != nil {
+			k, text, _ := strings.Cut(err.Error(), ": ")
+			check.Wrong(key(k), "%s", text)
+		}
+		if x.Roots == "" {
+			check.Wrong(key("roots"), "missing")
+		}
+		if (x.Certificate == "") != (x.Key == "") {
+			check.Wrong(key("certificate"), "certificate and key are named together or not at all")
+		}
+		if v := x.UnknownRevocation; v != "" && v != "accept" && v != "refuse" {
+			check.Wrong(key("unknown_revocation"), "%.40q, want accept or refuse", v)
+		}
+		if v := x.MinVersion; v != "" && v != "1.2" && v != "1.3" {
+			check.Wrong(key("min_version"), "%.40q, want 1.2 or 1.3", v)
+		}
+		if w := x.Weight; w != nil && !(*w >= 0 && *w <= weightMost) {
+			check.Wrong(key("handshake_weight"), "%v, want 0 to %d", *w, weightMost)
+		}
+		if x.WarnDays < 0 || x.WarnDays > warnMost {
+			check.Wrong(key("warn_days"), "%d, want 0 to %d", x.WarnDays, warnMost)
+		}
+		targets = append(targets, tlspolicy.Target{Rule: x.Name, Dests: x.Destinations, Flavors: x.Flavors})
+	}
+	if _, err := tlspolicy.NewSelector(targets); err != nil {
+		check.Wrong("tls", "%v", err)
+	}
+	h := &f.Handshakes
+	if !(h.Share >= 0 && h.Share <= 1) {
+		check.Wrong("handshakes.share", "%v, want above 0 and 1 at most", h.Share)
+	}
+	if b := h.BurstMS; !(b == 0 || b >= 1 && b <= burstMost) {
+		check.Wrong("handshakes.burst_ms", "%v, want 1 to %d", b, burstMost)
+	}
+	if h.Parallel < 0 || h.Parallel > parallelMost {
+		check.Wrong("handshakes.parallel", "%d, want 1 to %d", h.Parallel, parallelMost)
+	}
+	if s := h.TimeoutS; !(s == 0 || s >= timeoutLeast && s <= timeoutMost) {
+		check.Wrong("handshakes.timeout_s", "%v, want %v to %d", s, timeoutLeast, timeoutMost)
+	}
+	if h.Sessions < -1 || h.Sessions > sessionsMost {
+		check.Wrong("handshakes.sessions", "%d, want -1 to %d", h.Sessions, sessionsMost)
+	}
+}
+
+const nameRunes = "abcdefghijklmnopqrstuvwxyz0123456789-_"
+
+// Rule is the rule without what its files hold.
+func (x *TLS) Rule() (tlspolicy.Rule, error) {
+	r := tlspolicy.Rule{Name: x.Name, ServerName: x.ServerName, Hard: x.UnknownRevocation == "refuse"}
+	for _, s := range x.Pins {
+		p, err := tlspolicy.ParsePin(s)
+		if err != nil {
+			return r, err
+		}
+		r.Pins = append(r.Pins, p)
+	}
+	return r, nil
+}
+
+// Files are the rule's files.
+func (x *TLS) Files() keys.Files {
+	return keys.Files{Cert: x.Certificate, Key: x.Key, Roots: x.Roots, Lists: x.Revocations}
+}
+
+// Opening is what a connection under the rule takes at the partner, in calls.
+func (x *TLS) Opening() float64 {
+	if x.Weight == nil {
+		return defaultWeight
+	}
+	return *x.Weight
+}
+
+// Warn is how long before its end a certificate is told of.
+func (x *TLS) Warn() time.Duration {
+	return time.Duration(cmp.Or(x.WarnDays, defaultWarn)) * 24 * time.Hour
+}
+
+// Targets are whom the rules are for.
+func (f *File) Targets() (t []tlspolicy.Target) {
+	for i := range f.TLS {
+		t = append(t, tlspolicy.Target{Rule: f.TLS[i].Name, Dests: f.TLS[i].Destinations, Flavors: f.TLS[i].Flavors})
+	}
+	return t
+}
+
+// Limits are the handshake budget's.
+func (h *Handshakes) Limits() tlspolicy.Limits {
+	l := tlspolicy.Default()
+	l.Share = cmp.Or(h.Share, l.Share)
+	l.Burst = cmp.Or(time.Duration(h.BurstMS*float64(time.Millisecond)), l.Burst)
+	l.Parallel = cmp.Or(h.Parallel, l.Parallel)
+	for k := range l.Cost {
+		l.Cost[k] = min(l.Cost[k], l.Burst)
+	}
+	return l
+}
+
+// Timeout is how long a handshake may take.
+func (h *Handshakes) Timeout() time.Duration {
+	return cmp.Or(time.Duration(h.TimeoutS*float64(time.Second)), 3*time.Second)
+}
+
+// Kept is how many sessions are kept.
+func (h *Handshakes) Kept() int { return max(cmp.Or(h.Sessions, 256), 0) }
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -66,11 +66,16 @@
 		return
 	}
 	c.ceding = make(chan bool, 1)
-	if c.conn == nil {
+	switch {
+	case c.conn == nil:
 		c.stop(errCeded)
-		return
+	case c.conn.tls != nil:
+		// Its keys are in this process alone: it ends here, or is not waited for
+		// any more and may have run.
+		c.ceding = nil
+	default:
+		c.conn.SetReadDeadline(longAgo)
 	}
-	c.conn.SetReadDeadline(longAgo)
 }
 
 func (c *call) unpark(here bool) {
@@ -97,7 +102,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conn = conn
-	if c.ceding != nil {
+	if c.ceding != nil && conn.tls != nil {
+		c.ceding = nil
+	} else if c.ceding != nil {
 		conn.SetReadDeadline(longAgo)
 	}
 }
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -28,21 +28,23 @@
 
 // Config is everything that a relay is told before it starts.
 type Config struct {
-	Name      string
-	Listen    string
-	Discovery string
-	Console   string // where operators call; empty for nowhere
-	State     string // the folder that outlasts the process
-	Seed      uint64
-	Limits    Limits
-	Known     *List // the list as this relay last had it, maybe old
-	Policy    decide.Settings
-	Operator  operator.Clients // what the operator's file says; zero where there is none
-	zones     map[string]int
-	kinds     map[string]int
-	classes   map[string]int
-	tenants   map[string]int
-	loads     []string // fields of a load report
+	Name       string
+	Listen     string
+	Discovery  string
+	Console    string // where operators call; empty for nowhere
+	State      string // the folder that outlasts the process
+	Seed       uint64
+	Limits     Limits
+	Known      *List // the list as this relay last had it, maybe old
+	Policy     decide.Settings
+	Operator   operator.Clients // what the operator's file says; zero where there is none
+	TLS        []operator.TLS   // likewise
+	Handshakes operator.Handshakes
+	zones      map[string]int
+	kinds      map[string]int
+	classes    map[string]int
+	tenants    map[string]int
+	loads      []string // fields of a load report
 }
 
 // LoadConfig reads the file that ROUTER_CONFIG names. What the environment
@@ -75,6 +77,7 @@
 		return nil, fmt.Errorf("%s: %w", operator.Env, err)
 	}
 	if own != nil {
+		c.TLS, c.Handshakes = own.TLS, own.Handshakes
 		if err := c.apply(&own.Clients); err != nil {
 			return nil, fmt.Errorf("%s: %w", operator.Env, err)
 		}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -17,6 +17,7 @@
 
 	"troutusher/decide"
 	"troutusher/internal/core"
+	"troutusher/internal/secure"
 )
 
 const (
@@ -52,6 +53,7 @@
 	ctx     context.Context
 	stop    context.CancelCauseFunc
 	before  time.Duration // it was out for so long in another process
+	cold    bool          // at an endpoint where one connection is opened at a time
 
 	mu     sync.Mutex
 	conn   *poolConn // once its last byte is out
@@ -129,7 +131,9 @@
 		if errors.Is(context.Cause(c.ctx), errCeded) {
 			what = decide.NotSent
 		}
-		end(what, err)
+		var turn errNoTurn
+		errors.As(err, &turn)
+		tell(outcome{what: what, err: err, wait: turn.wait.Microseconds(), took: time.Since(began).Microseconds()})
 		return
 	}
 	c.sent(conn)
@@ -172,8 +176,8 @@
 // then is replaced: nothing of the call counts so far.
 func (c *call) send(ctx context.Context, h *home, text []byte) (*poolConn, decide.Outcome, error) {
 	for left := connsMost - 1; ; left-- {
-		conn, err := h.get(ctx)
-		if err == errNoRoom || c.stage.Load() == callStopped {
+		conn, err := h.get(ctx, c.cold)
+		if neverAsked(err) || c.stage.Load() == callStopped {
 			if conn != nil {
 				conn.put()
 			}
@@ -195,6 +199,11 @@
 		}
 		stop()
 		conn.drop()
+		if conn.tls != nil {
+			if out, refused := conn.tls.Peer().Refused(err); refused { // it has closed on who we are: nothing ran
+				return nil, decide.NotSent, out
+			}
+		}
 		if left == 0 || ctx.Err() != nil || c.leaving.Load() {
 			return nil, decide.NoConnect, err
 		}
@@ -205,6 +214,14 @@
 	}
 }
 
+// neverAsked reports whether there is no connection for a reason that is not the
+// endpoint's health.
+func neverAsked(err error) bool {
+	var out *secure.Out
+	var turn errNoTurn
+	return err == errNoRoom || errors.As(err, &out) || errors.As(err, &turn)
+}
+
 // unanswered maps a call that was written and has no answer.
 func (c *call) unanswered(ctx context.Context) decide.Outcome {
 	switch {
@@ -360,8 +377,8 @@
 		if err := req.Write(&text); err != nil {
 			return err
 		}
-		conn, err := h.get(ctx)
-		if err == errNoRoom {
+		conn, err := h.get(ctx, true)
+		if neverAsked(err) {
 			return err
 		}
 		if o.what = decide.NoConnect; err != nil {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -643,7 +644,7 @@
 
 // goOn has a call that the process before had out go on here.
 func (r *Relay) goOn(out *core.Call) {
-	ctx, stop := newCallContext(r.ctx)
+	ctx, stop := context.WithCancelCause(r.ctx)
 	c := &call{ctx: ctx, stop: stop, before: time.Duration(r.now()-out.Sent()) * time.Microsecond}
 	c.stage.Store(callSending)
 	out.Handle = c
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -14,6 +14,7 @@
 	"troutusher/internal/console"
 	"troutusher/internal/core"
 	"troutusher/internal/front"
+	"troutusher/internal/secure"
 	"troutusher/internal/takeover"
 	"troutusher/internal/takeover/link"
 )
@@ -48,6 +49,7 @@
 	events    []core.Event
 	effects   []core.Effect
 	pool      *pool
+	partners  *secure.Partners // nil without TLS
 	out       outgoing
 	got       []happening
 	taking    *taking
@@ -77,8 +79,17 @@
 		go con.Serve()
 	}
 	var err error
-	r.core, err = core.New(core.Settings{Policy: cfg.Policy, Seed: cfg.Seed, Epoch: r.began.UnixMicro() - clockStart,
-		Zones: cfg.zones, Kinds: cfg.kinds, Classes: cfg.classes, Tenants: cfg.tenants})
+	set := core.Settings{Policy: cfg.Policy, Seed: cfg.Seed, Epoch: r.began.UnixMicro() - clockStart,
+		Zones: cfg.zones, Kinds: cfg.kinds, Classes: cfg.classes, Tenants: cfg.tenants}
+	if len(cfg.TLS) > 0 {
+		r.partners, err = secure.New(secure.Options{Rules: cfg.TLS, Handshakes: cfg.Handshakes, Log: log, Seed: cfg.Seed, Barred: r.barred})
+		if err != nil {
+			return err
+		}
+		set.Opening = r.partners.Opening
+		go r.partners.Run(ctx)
+	}
+	r.core, err = core.New(set)
 	if err != nil {
 		return fmt.Errorf("config: settings: %w", err)
 	}
@@ -360,7 +371,7 @@
 			r.tell(core.Event{Kind: core.Probed, Endpoint: ep, Result: o.result()})
 		}()
 	case core.Open:
-		r.homes[e.Endpoint] = r.pool.home(e.Address)
+		r.homes[e.Endpoint] = r.pool.secureHome(e.Address, r.partners, uint64(e.Endpoint), e.Dest, e.Flavor)
 	case core.Shut:
 		r.homes[e.Endpoint].close()
 	case core.CloseIdle:
@@ -387,14 +398,15 @@
 	return busy(a.Busy)
 }
 
-func newCallContext(ctx context.Context) (context.Context, context.CancelCauseFunc) {
-	return context.WithCancelCause(ctx)
+// barred is told by the handshakes that an endpoint gets nothing for a time.
+func (r *Relay) barred(endpoint uint64, wait time.Duration) {
+	r.tell(core.Event{Kind: core.Barred, Endpoint: decide.Endpoint(endpoint), Wait: wait.Microseconds()})
 }
 
 // send logs an attempt and then makes it.
 func (r *Relay) send(rec *record, out *core.Call) {
-	ctx, stop := newCallContext(r.ctx)
-	c := &call{ctx: ctx, stop: stop, written: func() { r.board.Sends.Add(1) }}
+	ctx, stop := context.WithCancelCause(r.ctx)
+	c := &call{ctx: ctx, stop: stop, cold: out.Cold, written: func() { r.board.Sends.Add(1) }}
 	out.Handle = c
 	h, limit := r.homes[out.Endpoint], time.Duration(out.Limit)*time.Microsecond
 	r.wal.submit(rec, func(err error) {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"troutusher/internal/secure"
 )
 
 // The connections to endpoints. They are our own, and not net/http's, for what
@@ -47,12 +49,15 @@
 	pool   *pool
 	addr   string
 	dial   func(ctx context.Context, addr string) (net.Conn, error)
-	closed bool // under the pool's lock: nothing is kept any more
+	peer   *secure.Peer  // nil where it is reached without TLS
+	closed bool          // under the pool's lock: nothing is kept any more
+	news   chan struct{} // under the pool's lock: closed where one that waits should look again
 }
 
 // poolConn is one connection, held by one call or idle.
 type poolConn struct {
 	net.Conn
+	tls  *secure.Conn // the same, where it is one
 	home *home
 	in   *bufio.Reader
 	left int64 // bytes that may still be read for the answer
@@ -118,43 +123,82 @@
 func (p *pool) shut(c *poolConn) {
 	c.Conn.Close()
 	p.open--
+	c.home.tell()
 }
 
-// drop closes a connection that a call held.
+// drop closes a connection that a call held. Over TLS no farewell is written:
+// it could wait for a partner that reads nothing.
 func (c *poolConn) drop() {
 	p := c.home.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.tls != nil {
+		c.tls.Raw().Close()
+	}
 	p.shut(c)
 }
 
-// get gives a connection: the one used last of those that are idle and clean,
-// or a new one.
-func (h *home) get(ctx context.Context) (*poolConn, error) {
+// tell has those look again who wait for a connection there. The caller holds
+// the pool's lock.
+func (h *home) tell() {
+	if h.news != nil {
+		close(h.news)
+		h.news = nil
+	}
+}
+
+// take gives the connection used last of those that are idle and clean, if
+// there is one; else the moment from which one may be that is too fresh. The
+// caller holds the pool's lock.
+func (h *home) take(now time.Time) (c *poolConn, fresh time.Time) {
 	p := h.pool
-	p.mu.Lock()
-	now := time.Now()
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
-		if c.home != h || now.Sub(c.at) < poolSettle {
+		if c.home != h {
+			continue
+		}
+		if now.Sub(c.at) < poolSettle {
+			fresh = c.at.Add(poolSettle)
 			continue
 		}
 		p.idle = append(p.idle[:i], p.idle[i+1:]...)
 		if !p.stale(c, now) && c.clean() {
-			p.mu.Unlock()
-			return c, nil
+			return c, fresh
 		}
 		p.shut(c)
 	}
+	return nil, fresh
+}
+
+// room makes room for another connection. The caller holds the pool's lock.
+func (p *pool) room() bool {
 	if p.open >= p.most { // the one that was idle for longest makes room, whosever it is
 		if len(p.idle) == 0 {
-			p.mu.Unlock()
-			return nil, errNoRoom
+			return false
 		}
 		p.shut(p.idle[0])
 		p.idle = append(p.idle[:0], p.idle[1:]...)
 	}
 	p.open++
+	return true
+}
+
+// get gives a connection that is idle and clean, or a new one. At a cold
+// endpoint that is reached over TLS one is opened at a time.
+func (h *home) get(ctx context.Context, cold bool) (*poolConn, error) {
+	if h.peer != nil {
+		return h.getSecure(ctx, cold)
+	}
+	p := h.pool
+	p.mu.Lock()
+	c, _ := h.take(time.Now())
+	if c != nil || !p.room() {
+		p.mu.Unlock()
+		if c == nil {
+			return nil, errNoRoom
+		}
+		return c, nil
+	}
 	p.mu.Unlock()
 	conn, err := h.dial(ctx, h.addr)
 	if err != nil {
@@ -163,7 +207,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	c := &poolConn{Conn: conn, home: h}
+	c = &poolConn{Conn: conn, home: h}
 	c.in = bufio.NewReader(c)
 	return c, nil
 }
@@ -180,6 +224,7 @@
 	}
 	c.at = time.Now()
 	p.idle = append(p.idle, c)
+	c.home.tell()
 }
 
 // closeIdle gives up the idle connections.
@@ -191,6 +236,9 @@
 	h.closed = true
 	h.pool.mu.Unlock()
 	h.closeIdle()
+	if h.peer != nil {
+		h.peer.Close()
+	}
 }
 
 // clean reports whether nothing waits to be read: whatever comes before a
@@ -200,7 +248,15 @@
 	if c.in.Buffered() > 0 {
 		return false
 	}
-	s, ok := c.Conn.(syscall.Conn)
+	if c.tls != nil {
+		return c.cleanTLS()
+	}
+	return quiet(c.Conn)
+}
+
+// quiet reports whether a socket has nothing to read.
+func quiet(conn net.Conn) bool {
+	s, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -208,14 +264,14 @@
 	if err != nil {
 		return false
 	}
-	clean := false
+	none := false
 	err = raw.Read(func(fd uintptr) bool {
 		var one [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		clean = errors.Is(err, syscall.EAGAIN)
+		none = errors.Is(err, syscall.EAGAIN)
 		return true
 	})
-	return err == nil && clean
+	return err == nil && none
 }
 
 // counts is for tests and the log.
@@ -247,6 +303,9 @@
 	if !c.clean() {
 		return errUnasked
 	}
+	if err := ctx.Err(); err != nil { // likewise
+		return err
+	}
 	_, err := c.Conn.Write(text[last:])
 	return err
 }
--- /dev/null
+++ b/internal/relay/securepool.go
@@ -0,0 +1,172 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"troutusher/internal/secure"
+)
+
+// Connections over TLS. A handshake belongs to its endpoint and not to a
+// message: it goes on when the message that wanted it has gone, and whoever
+// waits there takes what is free first. So calls share connections before more
+// are opened, and none is thrown away half made.
+
+const (
+	housekeeping = time.Millisecond // for what a partner's TLS says unasked, to be read
+	saidMost     = 8                // times that it is read before a call
+)
+
+// errNoTurn is a call that could not have its connection in time.
+type errNoTurn struct{ wait time.Duration }
+
+func (e errNoTurn) Error() string {
+	return fmt.Sprintf("tls: no turn for a handshake in time, the next is in %v", e.wait.Round(time.Millisecond))
+}
+
+// secureHome is a home that is reached over TLS where the operator's file says
+// so.
+func (p *pool) secureHome(addr string, peers *secure.Partners, endpoint uint64, dest int, flavor string) *home {
+	h := p.home(addr)
+	h.peer = peers.Peer(endpoint, dest, flavor, func() bool {
+		opened, _, err := h.openSecure(true, true)
+		return err == nil && opened != nil
+	})
+	return h
+}
+
+// getSecure gives an idle connection, or waits for one that becomes free or
+// opens. Its error is errNoTurn or *secure.Out where nothing was asked of the
+// endpoint.
+func (h *home) getSecure(ctx context.Context, cold bool) (*poolConn, error) {
+	p := h.pool
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	deadline, bounded := ctx.Deadline()
+	var opened <-chan error // of the one that this call has opened
+	for {
+		p.mu.Lock()
+		now := time.Now()
+		c, again := h.take(now)
+		if h.news == nil {
+			h.news = make(chan struct{})
+		}
+		news := h.news
+		p.mu.Unlock()
+		if c != nil {
+			return c, nil
+		}
+		if opened == nil {
+			began, at, err := h.openSecure(cold, false)
+			if err != nil {
+				return nil, err
+			}
+			switch opened = began; {
+			case began != nil || at.IsZero():
+			case bounded && at.After(deadline) && again.IsZero():
+				return nil, errNoTurn{at.Sub(now)}
+			case again.IsZero() || at.Before(again):
+				again = at
+			}
+		}
+		if again.IsZero() {
+			again = now.Add(time.Hour)
+		}
+		timer.Reset(max(again.Sub(now), 0))
+		select {
+		case err := <-opened:
+			if err != nil {
+				return nil, err
+			}
+			opened = nil // it is idle, unless another was faster
+		case <-news:
+		case <-timer.C:
+		case <-ctx.Done():
+			if opened != nil { // the endpoint was asked, and is slow
+				return nil, ctx.Err()
+			}
+			return nil, errNoTurn{}
+		}
+	}
+}
+
+// openSecure begins to open a connection, which is idle once it is open. Without
+// a channel and an error it may not be begun now: at is when to ask again, zero
+// for once another one there has ended.
+func (h *home) openSecure(cold, scheduled bool) (opened <-chan error, at time.Time, err error) {
+	p := h.pool
+	turn, at, err := h.peer.Begin(cold, scheduled)
+	if err != nil || turn == nil {
+		return nil, at, err
+	}
+	p.mu.Lock()
+	ok := p.room()
+	p.mu.Unlock()
+	if !ok {
+		turn.Abandon()
+		return nil, at, errNoRoom
+	}
+	done := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), turn.Timeout())
+		defer cancel()
+		conn, err := h.shake(ctx, turn)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		switch {
+		case err != nil:
+			p.open--
+		default:
+			c := &poolConn{Conn: conn, tls: conn, home: h, left: answerMost, at: time.Now().Add(-poolSettle)}
+			c.in = bufio.NewReader(c)
+			if h.closed {
+				p.shut(c)
+				break
+			}
+			p.idle = append(p.idle, c)
+		}
+		h.tell()
+		done <- err
+	}()
+	return done, time.Time{}, nil
+}
+
+func (h *home) shake(ctx context.Context, turn *secure.Turn) (*secure.Conn, error) {
+	raw, err := h.dial(ctx, h.addr)
+	if err != nil {
+		turn.Abandon()
+		return nil, err
+	}
+	return turn.Shake(ctx, raw)
+}
+
+// cleanTLS is clean over TLS. What has come may be the partner's housekeeping,
+// new sessions or keys (RFC 8446 section 4.6), which is taken in; anything else,
+// and part of a record, which may be the connection's end, is of no use.
+func (c *poolConn) cleanTLS() bool {
+	if !c.tls.Fresh() {
+		return false
+	}
+	defer c.SetReadDeadline(time.Time{})
+	for range saidMost {
+		c.SetReadDeadline(longAgo) // what was read from the socket already
+		if _, err := c.in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
+		}
+		if quiet(c.tls.Raw()) {
+			return c.tls.Whole()
+		}
+		c.SetReadDeadline(time.Now().Add(housekeeping))
+		if _, err := c.in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
+		}
+	}
+	return false
+}
+
+var _ net.Conn = (*secure.Conn)(nil)
--- a/internal/tlspolicy/budget.go
+++ b/internal/tlspolicy/budget.go
@@ -1,15 +1,15 @@
 package tlspolicy
 
 import (
-	"errors"
 	"fmt"
 	"time"
 )
 
-// The handshake budget: a handshake is work, at the partner and here. At the
-// partner it counts like calls, out of the same allowance that a cold partner
-// has for messages; here it may take its share of the core and no more, so that
-// a storm to one partner does not delay the messages to the others.
+// The handshake budget: a handshake is work, at the partner and here. What it
+// takes there is in the decision module's books, out of the same allowance that
+// a cold partner has for messages (decide.Entry.Opening). Here it may take its
+// share of the core and no more, so that a storm to one partner does not delay
+// the messages to the others.
 
 // Kind is a kind of handshake.
 type Kind uint8
@@ -26,7 +26,6 @@
 	Share    float64          // of one core, for handshakes
 	Burst    time.Duration    // of CPU time that may be spent at once
 	Cost     [2]time.Duration // of CPU time here, full and resumed, until it is learned
-	Weight   [2]float64       // at the partner, in calls
 	Parallel int              // under way to one destination at once
 }
 
@@ -34,7 +33,7 @@
 // a slow core, learned anew within a few handshakes.
 func Default() Limits {
 	return Limits{Share: 0.25, Burst: 50 * time.Millisecond, Cost: [2]time.Duration{2 * time.Millisecond, 500 * time.Microsecond},
-		Weight: [2]float64{1, 0.25}, Parallel: 4}
+		Parallel: 4}
 }
 
 // Check tells of limits that cannot be.
@@ -51,9 +50,6 @@
 		if l.Cost[k] <= 0 || l.Cost[k] > l.Burst {
 			return fmt.Errorf("cost: %v, want above 0 and the burst of %v at most", l.Cost[k], l.Burst)
 		}
-		if !(l.Weight[k] >= 0) {
-			return errors.New("weight: want 0 or more")
-		}
 	}
 	return nil
 }
@@ -93,26 +89,18 @@
 	}
 }
 
-// Weight is what a handshake takes of a destination's allowance, in calls.
-func (b *Budget) Weight(k Kind) float64 { return b.l.Weight[k] }
-
-// Begin asks to begin a handshake. room is how many calls the destination may be
-// sent now, by the decision module's word; where it is not bounded, as for one
-// that is warm, room is negative. A cold destination has one handshake under way
-// at a time, so that what follows it can be resumed, or shares its connection.
-// Where it is not granted, at is when to ask again; zero where only the end of
-// another handshake, or more room, can change the answer.
-func (b *Budget) Begin(dest int, k Kind, room float64, now time.Time) (s Started, ok bool, at time.Time) {
+// Begin asks to begin a handshake. A destination that is cold, by the decision
+// module's word, has one handshake under way at a time, so that what follows it
+// can be resumed, or shares its connection. Where it is not granted, at is when
+// to ask again; zero where only the end of another handshake to the destination
+// can change the answer.
+func (b *Budget) Begin(dest int, k Kind, cold bool, now time.Time) (s Started, ok bool, at time.Time) {
 	b.roll(now)
 	n := 0
 	if l := b.lanes[dest]; l != nil {
 		n = l.flying
 	}
-	cold := room >= 0
-	switch {
-	case n >= b.l.Parallel || cold && n > 0:
-		return s, false, time.Time{}
-	case cold && room < b.l.Weight[k]:
+	if n >= b.l.Parallel || cold && n > 0 {
 		return s, false, time.Time{}
 	}
 	// One that costs more than the burst would never come: it waits for all of it.
--- a/internal/tlspolicy/identity.go
+++ b/internal/tlspolicy/identity.go
@@ -14,6 +14,7 @@
 	"crypto/sha256"
 	"crypto/x509"
 	"encoding/base64"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"slices"
@@ -35,11 +36,13 @@
 	WrongPin  // RFC 7469 section 2.6: no key of the chain is pinned
 	IsRevoked
 	RevocationUnknown // and the setting is hard
+	RefusesUs         // it does not accept our own certificate, by its alert
+	NothingCommon     // no version, suite or name that both know, by its alert
 	causes
 )
 
 var causeNames = [causes]string{"", "no certificate", "weak key", "not yet valid", "expired", "wrong name", "wrong root", "bad chain",
-	"wrong pin", "revoked", "revocation unknown"}
+	"wrong pin", "revoked", "revocation unknown", "refuses our certificate", "nothing in common"}
 
 func (c Cause) String() string { return causeNames[c] }
 
@@ -93,6 +96,23 @@
 	Hard       bool           // what is unknown of revocation counts as revoked
 }
 
+// Identity is under whose eyes sessions with a destination are made. roots and
+// own are what the files hold: sums over the roots and our own certificate.
+func (r *Rule) Identity(dest int, roots, own []byte) Identity {
+	h := sha256.New()
+	put := func(b []byte) { // with its length: no two lists of parts are alike
+		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(b))))
+		h.Write(b)
+	}
+	put([]byte(r.ServerName))
+	put(roots)
+	put(own)
+	for _, p := range r.Pins {
+		put(p[:])
+	}
+	return Identity{dest, r.Name, [sha256.Size]byte(h.Sum(nil))}
+}
+
 // Check tells what is wrong with a rule.
 func (r *Rule) Check() error {
 	switch {
@@ -119,9 +139,9 @@
 	Chain []*x509.Certificate
 }
 
-// Verify judges what a partner showed, its own certificate first. status tells
-// what is known of a certificate's revocation; nil for nothing.
-func (r *Rule) Verify(shown []*x509.Certificate, now time.Time, status func(c, issuer *x509.Certificate) Revocation) (*Proof, *Failure) {
+// Verify judges what a partner showed, its own certificate first. known is what
+// is known of revocation; nil for nothing.
+func (r *Rule) Verify(shown []*x509.Certificate, now time.Time, known *Evidence) (*Proof, *Failure) {
 	fail := func(c Cause, err error) (*Proof, *Failure) { return nil, &Failure{c, r.Name, err} }
 	if len(shown) == 0 {
 		return fail(NoCertificate, errors.New("none was shown"))
@@ -164,7 +184,7 @@
 	}
 	var worst *Failure
 	for _, chain := range chains {
-		f := r.judge(chain, status)
+		f := r.judge(chain, now, known)
 		if f == nil {
 			until := leaf.NotAfter
 			for _, c := range chain {
@@ -182,7 +202,7 @@
 }
 
 // judge is what a chain must pass beside x509's rules.
-func (r *Rule) judge(chain []*x509.Certificate, status func(c, issuer *x509.Certificate) Revocation) *Failure {
+func (r *Rule) judge(chain []*x509.Certificate, now time.Time, evidence *Evidence) *Failure {
 	for _, c := range chain[1:] {
 		if err := strong(c); err != nil {
 			return &Failure{WeakKey, r.Name, err}
@@ -192,13 +212,12 @@
 		return &Failure{WrongPin, r.Name, fmt.Errorf("none of the chain's %d keys is pinned; the leaf's is %s", len(chain), PinOf(chain[0]))}
 	}
 	for i, c := range chain[:len(chain)-1] { // a root is not revoked, it is removed
-		known := Unknown
-		if status != nil {
-			known = status(c, chain[i+1])
-		}
+		known := evidence.status(c, chain[i+1], i == 0, now)
 		switch {
 		case known == Revoked:
 			return &Failure{IsRevoked, r.Name, fmt.Errorf("serial %x", c.SerialNumber)}
+		case i == 0 && mustStaple(c) && (evidence == nil || stapled(evidence.Staple, c, chain[1], now) != Good):
+			return &Failure{RevocationUnknown, r.Name, errors.New("its certificate says that a good OCSP response comes with it, and none did (RFC 7633)")}
 		case known == Unknown && r.Hard:
 			return &Failure{RevocationUnknown, r.Name, fmt.Errorf("serial %x", c.SerialNumber)}
 		}
--- /dev/null
+++ b/internal/tlspolicy/select.go
@@ -0,0 +1,59 @@
+package tlspolicy
+
+import "fmt"
+
+// Whom a destination must prove to be is chosen by the operator's settings: a
+// destination that a rule names by number comes before one that a rule names by
+// its flavour. Nothing in the partners' list can turn a destination that has a
+// rule into one without: its flavour is the list's word, so a destination whose
+// proof matters is named by number.
+
+// Target is whom one rule is for.
+type Target struct {
+	Rule    string
+	Dests   []int
+	Flavors []string
+}
+
+// Selector finds the rule of a destination.
+type Selector struct {
+	byDest   map[int]int
+	byFlavor map[string]int
+}
+
+// NewSelector checks that no two rules name the same destination or flavour,
+// and that each names one.
+func NewSelector(targets []Target) (*Selector, error) {
+	s := &Selector{byDest: map[int]int{}, byFlavor: map[string]int{}}
+	for i, t := range targets {
+		if len(t.Dests)+len(t.Flavors) == 0 {
+			return nil, fmt.Errorf("rule %q: names no destination and no flavour", t.Rule)
+		}
+		for _, d := range t.Dests {
+			if j, ok := s.byDest[d]; ok {
+				return nil, fmt.Errorf("rule %q: destination %d is named by rule %q", t.Rule, d, targets[j].Rule)
+			}
+			s.byDest[d] = i
+		}
+		for _, f := range t.Flavors {
+			if j, ok := s.byFlavor[f]; ok {
+				return nil, fmt.Errorf("rule %q: flavour %q is named by rule %q", t.Rule, f, targets[j].Rule)
+			}
+			s.byFlavor[f] = i
+		}
+	}
+	return s, nil
+}
+
+// Find is the number of the rule for a destination, false where it is reached
+// without TLS.
+func (s *Selector) Find(dest int, flavor string) (int, bool) {
+	if s == nil {
+		return 0, false
+	}
+	i, ok := s.byDest[dest]
+	if !ok {
+		i, ok = s.byFlavor[flavor]
+	}
+	return i, ok
+}
--- /dev/null
+++ b/internal/tlspolicy/sessions_test.go
@@ -0,0 +1,179 @@
+package tlspolicy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Against a plain list: a session is given out once, under its own identity and
+// before its end, the newest first; no bound is passed; trust that changes takes
+// its sessions with it.
+func TestSessions(t *testing.T) {
+	type entry struct {
+		of    Identity
+		what  int
+		until time.Time
+	}
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		most := rng.IntN(30)
+		s := NewSessions[int](most)
+		var model []entry // the oldest first
+		now := noon
+		ids := []Identity{}
+		for i := range 6 {
+			ids = append(ids, Identity{i % 3, []string{"pay", "shop"}[i%2], [32]byte{byte(i)}})
+		}
+		next := 0
+		for range 400 {
+			now = now.Add(time.Duration(rng.IntN(600)) * time.Second)
+			of := ids[rng.IntN(len(ids))]
+			switch rng.IntN(8) {
+			case 0, 1, 2, 3:
+				next++
+				proof := now.Add(time.Duration(rng.IntN(40)-2) * time.Hour)
+				until := now.Add(12 * time.Hour)
+				if proof.Before(until) {
+					until = proof
+				}
+				s.Put(of, next, now, proof)
+				if most == 0 || !now.Before(until) {
+					break
+				}
+				n, first := 0, -1
+				for i, e := range model {
+					if e.of == of {
+						if n++; first < 0 {
+							first = i
+						}
+					}
+				}
+				if n >= sessionsEach {
+					model = append(model[:first], model[first+1:]...)
+				}
+				if len(model) >= most {
+					model = model[1:]
+				}
+				model = append(model, entry{of, next, until})
+			case 4, 5, 6:
+				want, ok := 0, false
+				for i := len(model) - 1; i >= 0 && !ok; i-- {
+					if model[i].of != of {
+						continue
+					}
+					if now.Before(model[i].until) {
+						want, ok = model[i].what, true
+					}
+					model = append(model[:i], model[i+1:]...)
+				}
+				if s.Has(of, now) != ok {
+					t.Fatalf("seed %d: has %v, want %v", seed, !ok, ok)
+				}
+				got, _, found := s.Take(of, now)
+				if found != ok || got != want {
+					t.Fatalf("seed %d: %d %v, want %d %v", seed, got, found, want, ok)
+				}
+			case 7:
+				rule := []string{"pay", "shop", "none"}[rng.IntN(3)]
+				s.Drop(rule)
+				kept := model[:0]
+				for _, e := range model {
+					if e.of.Rule != rule {
+						kept = append(kept, e)
+					}
+				}
+				model = kept
+			}
+			if s.Len() != len(model) || s.Len() > most {
+				t.Fatalf("seed %d: %d kept, want %d of %d at most", seed, s.Len(), len(model), most)
+			}
+		}
+	}
+}
+
+// Whatever differs in what is proved or shown, the identity differs: no session
+// crosses from one to another.
+func TestIdentities(t *testing.T) {
+	root := issue(t, nil, nil, authority)
+	a, b := PinOf(root.Certificate), Pin{1}
+	rule := func(change func(*Rule)) *Rule {
+		r := &Rule{Name: "pay", ServerName: "pay.example.org", Pins: []Pin{a, b}}
+		if change != nil {
+			change(r)
+		}
+		return r
+	}
+	seen := map[Identity]string{}
+	for name, id := range map[string]Identity{
+		"as it is":            rule(nil).Identity(1, []byte("roots"), []byte("own")),
+		"another destination": rule(nil).Identity(2, []byte("roots"), []byte("own")),
+		"another rule":        rule(func(r *Rule) { r.Name = "shop" }).Identity(1, []byte("roots"), []byte("own")),
+		"another name":        rule(func(r *Rule) { r.ServerName = "pay.example.com" }).Identity(1, []byte("roots"), []byte("own")),
+		"other roots":         rule(nil).Identity(1, []byte("root"), []byte("own")),
+		"another of our own":  rule(nil).Identity(1, []byte("roots"), []byte("ow")),
+		"none of our own":     rule(nil).Identity(1, []byte("roots"), nil),
+		"no pins":             rule(func(r *Rule) { r.Pins = nil }).Identity(1, []byte("roots"), []byte("own")),
+		"other pins":          rule(func(r *Rule) { r.Pins = []Pin{a, {2}} }).Identity(1, []byte("roots"), []byte("own")),
+		"a byte that moved":   rule(func(r *Rule) { r.ServerName = "pay.example.orgr" }).Identity(1, []byte("oots"), []byte("own")),
+	} {
+		if other, ok := seen[id]; ok {
+			t.Errorf("%s: the same identity as %s", name, other)
+		}
+		seen[id] = name
+	}
+}
+
+// A destination named by number comes before its flavour, and no two rules claim
+// the same.
+func TestSelector(t *testing.T) {
+	s, err := NewSelector([]Target{{"chains", nil, []string{"lanac"}}, {"pay", []int{3, 4}, nil}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct {
+		dest   int
+		flavor string
+		want   int
+		ok     bool
+	}{{3, "lanac", 1, true}, {3, "", 1, true}, {5, "lanac", 0, true}, {5, "shop", 0, false}} {
+		if got, ok := s.Find(x.dest, x.flavor); ok != x.ok || ok && got != x.want {
+			t.Errorf("%d %q: rule %d %v, want %d %v", x.dest, x.flavor, got, ok, x.want, x.ok)
+		}
+	}
+	for name, bad := range map[string][]Target{
+		"nobody named":      {{"a", nil, nil}},
+		"a number twice":    {{"a", []int{1}, nil}, {"b", []int{2, 1}, nil}},
+		"a flavour twice":   {{"a", nil, []string{"x"}}, {"b", nil, []string{"x"}}},
+		"twice in one rule": {{"a", []int{1, 1}, nil}},
+	} {
+		if _, err := NewSelector(bad); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	if _, ok := (*Selector)(nil).Find(1, "x"); ok {
+		t.Error("without rules a destination has one")
+	}
+}
+
+// What was sent decides what may have run, and no alert's name does; those that
+// tell of who we are put an endpoint out, accidents do not.
+func TestAlerts(t *testing.T) {
+	if Proves(Handshaking) != NeverRan || Proves(Partly) != NeverRan || Proves(Whole) != MayHaveRun {
+		t.Error("what an end proves")
+	}
+	refuses := map[uint8]bool{42: true, 43: true, 44: true, 45: true, 46: true, 48: true, 49: true, 116: true}
+	nothing := map[uint8]bool{40: true, 70: true, 71: true, 112: true, 120: true}
+	for code := range 256 {
+		c, ok := CauseOf(uint8(code))
+		want := Cause(0)
+		if refuses[uint8(code)] {
+			want = RefusesUs
+		} else if nothing[uint8(code)] {
+			want = NothingCommon
+		}
+		if c != want || ok != (want != 0) {
+			t.Errorf("alert %d: %v %v, want %v", code, c, ok, want)
+		}
+	}
+}
