--- a/internal/devca/devca.go
+++ b/internal/devca/devca.go
@@ -17,6 +17,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/asn1"
 	"encoding/pem"
 	"fmt"
 	"math/big"
@@ -26,6 +27,26 @@
 	"time"
 )
 
+// MustStaple is a change that has a certificate say that it never comes without
+// an OCSP response (RFC 7633).
+func MustStaple(c *x509.Certificate) {
+	c.ExtraExtensions = append(c.ExtraExtensions, pkix.Extension{Id: asn1.ObjectIdentifier{1, 3, 6, 1, 5, 5, 7, 1, 24}, Value: []byte{0x30, 3, 2, 1, 5}})
+}
+
+// RevocationList is an authority's list in PEM, with the next one due at a
+// moment.
+func RevocationList(up *Made, next time.Time, revoked ...*Made) ([]byte, error) {
+	l := &x509.RevocationList{Number: big.NewInt(time.Now().Unix()), ThisUpdate: time.Now().Add(-time.Hour), NextUpdate: next}
+	for _, m := range revoked {
+		l.RevokedCertificateEntries = append(l.RevokedCertificateEntries, x509.RevocationListEntry{SerialNumber: m.SerialNumber, RevocationTime: l.ThisUpdate})
+	}
+	der, err := x509.CreateRevocationList(rand.Reader, l, up.Certificate, up.Key)
+	if err != nil {
+		return nil, err
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: "X509 CRL", Bytes: der}), nil
+}
+
 // Kind is a kind of key.
 type Kind string
 
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -158,6 +158,9 @@
 		if o.what == decide.Reset {
 			o.what = c.unanswered(ctx)
 		}
+		if conn.tls != nil && o.err != nil { // its word that it does not accept us may come late: the next call is spared
+			conn.tls.Peer().Refused(o.err)
+		}
 		// Nobody waits for the call any more; what is left of its answer has
 		// its own bound.
 		tell(o)
@@ -219,7 +222,7 @@
 func neverAsked(err error) bool {
 	var out *secure.Out
 	var turn errNoTurn
-	return err == errNoRoom || errors.As(err, &out) || errors.As(err, &turn)
+	return err == errNoRoom || err == errDrained || errors.As(err, &out) || errors.As(err, &turn)
 }
 
 // unanswered maps a call that was written and has no answer.
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -72,7 +72,7 @@
 }
 
 // rawEndpoint serves connections by hand, for what no HTTP server does.
-func rawEndpoint(t *testing.T, serve func(net.Conn)) string {
+func rawEndpoint(t testing.TB, serve func(net.Conn)) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -101,7 +101,9 @@
 	return err == nil
 }
 
-func TestOutcomes(t *testing.T) {
+func TestOutcomes(t *testing.T) { overEach(t, testOutcomes) }
+
+func testOutcomes(t *testing.T, w *way) {
 	say := func(text string) func(net.Conn) {
 		return func(c net.Conn) {
 			if readCall(bufio.NewReader(c)) {
@@ -132,7 +134,7 @@
 		"first a hint, then": {serve: say("HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), what: decide.Delivered, settled: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := testPool(t).home(rawEndpoint(t, x.serve))
+			h := w.home(testPool(t), w.endpoint(t, x.serve))
 			o := newTestCall().made(t, h, &record{ID: "m", Key: "k", Body: []byte("b")}, testLimit)
 			if o.what != x.what || o.wait != x.wait || o.slots != x.slots || o.settled != x.settled {
 				t.Errorf("got %+v", o)
@@ -143,7 +145,9 @@
 
 // Guards the difference between what never ran and what may have: a refused
 // connection never ran, silence after the last byte may have.
-func TestOutcomesWithoutAnswer(t *testing.T) {
+func TestOutcomesWithoutAnswer(t *testing.T) { overEach(t, testOutcomesWithoutAnswer) }
+
+func testOutcomesWithoutAnswer(t *testing.T, w *way) {
 	p := testPool(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -151,26 +155,26 @@
 	}
 	refused := ln.Addr().String()
 	ln.Close()
-	if o := newTestCall().made(t, p.home(refused), &record{ID: "m"}, testLimit); o.what != decide.NoConnect {
+	if o := newTestCall().made(t, w.home(p, refused), &record{ID: "m"}, testLimit); o.what != decide.NoConnect {
 		t.Errorf("refused: %+v", o)
 	}
 	gone := make(chan struct{}, 2)
 	entered := make(chan struct{}, 2)
-	silent := rawEndpoint(t, func(c net.Conn) {
+	silent := w.endpoint(t, func(c net.Conn) {
 		in := bufio.NewReader(c)
 		readCall(in)
 		entered <- struct{}{}
 		in.ReadByte() // until the caller closes
 		gone <- struct{}{}
 	})
-	if o := newTestCall().made(t, p.home(silent), &record{ID: "m"}, 50*time.Millisecond); o.what != decide.TimedOut {
+	if o := newTestCall().made(t, w.home(p, silent), &record{ID: "m"}, 50*time.Millisecond); o.what != decide.TimedOut {
 		t.Errorf("silent: %+v", o)
 	}
 	<-entered
 	<-gone // giving up closes the connection
 	c := newTestCall()
 	go func() { <-entered; c.stop(errCancelled) }()
-	if o := c.made(t, p.home(silent), &record{ID: "m"}, testLimit); o.what != decide.Cancelled {
+	if o := c.made(t, w.home(p, silent), &record{ID: "m"}, testLimit); o.what != decide.Cancelled {
 		t.Errorf("cancelled: %+v", o)
 	}
 	<-gone
@@ -178,11 +182,13 @@
 
 // Guards against a call that is sent again by itself where a kept-alive
 // connection breaks under it.
-func TestNoResendByItself(t *testing.T) {
+func TestNoResendByItself(t *testing.T) { overEach(t, testNoResendByItself) }
+
+func testNoResendByItself(t *testing.T, w *way) {
 	for name, body := range map[string][]byte{"body": []byte("b"), "empty body": nil} {
 		t.Run(name, func(t *testing.T) {
 			var calls atomic.Int32
-			addr := rawEndpoint(t, func(c net.Conn) {
+			addr := w.endpoint(t, func(c net.Conn) {
 				in := bufio.NewReader(c)
 				for readCall(in) {
 					if calls.Add(1) == 2 {
@@ -191,7 +197,7 @@
 					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 				}
 			})
-			h := testPool(t).home(addr)
+			h := w.home(testPool(t), addr)
 			rec := &record{ID: "m", Key: "k", Body: body}
 			if o := newTestCall().made(t, h, rec, testLimit); o.what != decide.Delivered {
 				t.Fatalf("first: %+v", o)
@@ -247,11 +253,13 @@
 
 // Guards reuse: a new connection costs a handshake, so answers are read to
 // their end and more than two connections are kept after a burst.
-func TestConnectionsAreKept(t *testing.T) {
+func TestConnectionsAreKept(t *testing.T) { overEach(t, testConnectionsAreKept) }
+
+func testConnectionsAreKept(t *testing.T, w *way) {
 	var conns atomic.Int32
 	const burst = 6
 	together := make(chan struct{}, burst)
-	addr := rawEndpoint(t, func(c net.Conn) {
+	addr := w.endpoint(t, func(c net.Conn) {
 		conns.Add(1)
 		in := bufio.NewReader(c)
 		for readCall(in) {
@@ -262,7 +270,7 @@
 			io.Copy(c, bytes.NewReader(append([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n"), make([]byte, 9000)...)))
 		}
 	})
-	h := testPool(t).home(addr)
+	h := w.home(testPool(t), addr)
 	for round := range 2 {
 		done, ended := make(chan outcome, burst), make(chan bool, burst)
 		for range burst {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -49,9 +49,13 @@
 	pool   *pool
 	addr   string
 	dial   func(ctx context.Context, addr string) (net.Conn, error)
-	peer   *secure.Peer  // nil where it is reached without TLS
-	closed bool          // under the pool's lock: nothing is kept any more
-	news   chan struct{} // under the pool's lock: closed where one that waits should look again
+	peer   *secure.Peer // nil where it is reached without TLS
+	closed bool         // under the pool's lock: nothing is kept any more
+	// Of one that is reached over TLS, under the pool's lock: closed where who
+	// waits for a connection should look again; how many wait, and how many are
+	// being opened.
+	news             chan struct{}
+	waiting, opening int
 }
 
 // poolConn is one connection, held by one call or idle.
@@ -61,6 +65,7 @@
 	home *home
 	in   *bufio.Reader
 	left int64 // bytes that may still be read for the answer
+	used bool  // by a call; one without TLS is used as soon as it is open
 	at   time.Time
 }
 
@@ -148,9 +153,10 @@
 }
 
 // take gives the connection used last of those that are idle and clean, if
-// there is one; else the moment from which one may be that is too fresh. The
-// caller holds the pool's lock.
-func (h *home) take(now time.Time) (c *poolConn, fresh time.Time) {
+// there is one; else the moment from which one may be that is too fresh. spoilt
+// is how many had never been used and are of no use already. The caller holds the
+// pool's lock.
+func (h *home) take(now time.Time) (c *poolConn, fresh time.Time, spoilt int) {
 	p := h.pool
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
@@ -163,11 +169,15 @@
 		}
 		p.idle = append(p.idle[:i], p.idle[i+1:]...)
 		if !p.stale(c, now) && c.clean() {
-			return c, fresh
+			c.used = true
+			return c, fresh, spoilt
+		}
+		if !c.used && c.tls.Fresh() {
+			spoilt++
 		}
 		p.shut(c)
 	}
-	return nil, fresh
+	return nil, fresh, spoilt
 }
 
 // room makes room for another connection. The caller holds the pool's lock.
@@ -191,7 +201,7 @@
 	}
 	p := h.pool
 	p.mu.Lock()
-	c, _ := h.take(time.Now())
+	c, _, _ := h.take(time.Now())
 	if c != nil || !p.room() {
 		p.mu.Unlock()
 		if c == nil {
@@ -207,7 +217,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	c = &poolConn{Conn: conn, home: h}
+	c = &poolConn{Conn: conn, home: h, used: true}
 	c.in = bufio.NewReader(c)
 	return c, nil
 }
--- a/internal/relay/pool_test.go
+++ b/internal/relay/pool_test.go
@@ -19,7 +19,9 @@
 // Guards what is believed of an answer. A spoilt one is that of a call that
 // may have run, whatever its first line says, unless that says 200; and no
 // answer is read for longer than it may be or take.
-func TestSpoiltAnswers(t *testing.T) {
+func TestSpoiltAnswers(t *testing.T) { overEach(t, testSpoiltAnswers) }
+
+func testSpoiltAnswers(t *testing.T, w *way) {
 	long := strings.Repeat("x", 8000)
 	for name, x := range map[string]struct {
 		answer  string
@@ -55,7 +57,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			closed := make(chan int, 1)
-			h := testPool(t).home(rawEndpoint(t, func(c net.Conn) {
+			h := w.home(testPool(t), w.endpoint(t, func(c net.Conn) {
 				in := bufio.NewReader(c)
 				if !readCall(in) {
 					return
@@ -91,9 +93,11 @@
 }
 
 // Guards the moment at which a delivery is known: with its first line.
-func TestDeliveredAtFirstLine(t *testing.T) {
+func TestDeliveredAtFirstLine(t *testing.T) { overEach(t, testDeliveredAtFirstLine) }
+
+func testDeliveredAtFirstLine(t *testing.T, w *way) {
 	release := make(chan struct{})
-	h := testPool(t).home(rawEndpoint(t, func(c net.Conn) {
+	h := w.home(testPool(t), w.endpoint(t, func(c net.Conn) {
 		if readCall(bufio.NewReader(c)) {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n")
 			<-release
@@ -118,9 +122,11 @@
 
 // Guards an answer that is long in coming behind one that is ahead of it: only
 // what has begun must come quickly.
-func TestHintLongBeforeTheAnswer(t *testing.T) {
+func TestHintLongBeforeTheAnswer(t *testing.T) { overEach(t, testHintLongBeforeTheAnswer) }
+
+func testHintLongBeforeTheAnswer(t *testing.T, w *way) {
 	release := make(chan struct{})
-	h := testPool(t).home(rawEndpoint(t, func(c net.Conn) {
+	h := w.home(testPool(t), w.endpoint(t, func(c net.Conn) {
 		if readCall(bufio.NewReader(c)) {
 			io.WriteString(c, "HTTP/1.1 102 P\r\n\r\n")
 			<-release
@@ -149,13 +155,15 @@
 // the connection is put back, while it is idle, or only when the call is
 // written but for its last byte. Nothing of the call counts then, so that it
 // goes out on another connection, once.
-func TestBytesBehindAnAnswer(t *testing.T) {
+func TestBytesBehindAnAnswer(t *testing.T) { overEach(t, testBytesBehindAnAnswer) }
+
+func testBytesBehindAnAnswer(t *testing.T, w *way) {
 	for name, behind := range map[string]string{"copy": fine, "noise": "\x00\x01\x02", "end": ""} {
 		t.Run("while idle, "+name, func(t *testing.T) {
 			var conns, calls atomic.Int32
 			said := make(chan struct{}, 8)
 			more := make(chan struct{})
-			h := testPool(t).home(rawEndpoint(t, func(c net.Conn) {
+			h := w.home(testPool(t), w.endpoint(t, func(c net.Conn) {
 				first := conns.Add(1) == 1
 				in := bufio.NewReader(c)
 				for readCall(in) {
@@ -195,9 +203,12 @@
 		})
 	}
 	t.Run("while the call is written", func(t *testing.T) {
+		if w.site != nil {
+			t.Skip("a test of its own has it") // TestAlertsBeforeTheLastByte
+		}
 		var conns atomic.Int32
 		got := make(chan int, 4) // bytes of the second call on the first connection
-		h := testPool(t).home(rawEndpoint(t, func(c net.Conn) {
+		h := w.home(testPool(t), w.endpoint(t, func(c net.Conn) {
 			first := conns.Add(1) == 1
 			in := bufio.NewReader(c)
 			for n := 0; readCall(in); n++ {
@@ -245,10 +256,12 @@
 // Guards unsafe messages against kept connections that their endpoint has
 // dropped in silence: the reset comes before the last byte, so the call goes
 // out on another connection and counts once.
-func TestDroppedInSilence(t *testing.T) {
+func TestDroppedInSilence(t *testing.T) { overEach(t, testDroppedInSilence) }
+
+func testDroppedInSilence(t *testing.T, w *way) {
 	var conns, calls atomic.Int32
 	p := testPool(t)
-	h := p.home(rawEndpoint(t, func(c net.Conn) {
+	h := w.home(p, w.endpoint(t, func(c net.Conn) {
 		first := conns.Add(1) == 1
 		in := bufio.NewReader(c)
 		if !readCall(in) {
@@ -258,7 +271,7 @@
 		io.WriteString(c, fine)
 		if first {
 			in.ReadByte() // of the next call
-			c.(*net.TCPConn).SetLinger(0)
+			rawOf(c).SetLinger(0)
 		}
 	}))
 	p.moment = time.Millisecond
@@ -309,7 +322,9 @@
 // Guards the descriptors: the number open is bounded over all endpoints, and
 // what is idle makes room for what is wanted. A dial that is given up frees
 // its place.
-func TestPoolBounded(t *testing.T) {
+func TestPoolBounded(t *testing.T) { overEach(t, testPoolBounded) }
+
+func testPoolBounded(t *testing.T, w *way) {
 	serve := func(c net.Conn) {
 		for in := bufio.NewReader(c); readCall(in); {
 			io.WriteString(c, fine)
@@ -318,7 +333,7 @@
 	p := testPool(t)
 	p.most = 3
 	for i := range 10 {
-		if o := newTestCall().made(t, p.home(rawEndpoint(t, serve)), &record{ID: "m"}, testLimit); o.what != decide.Delivered {
+		if o := newTestCall().made(t, w.home(p, w.endpoint(t, serve)), &record{ID: "m"}, testLimit); o.what != decide.Delivered {
 			t.Fatalf("endpoint %d: %+v", i, o)
 		}
 		if open, _ := p.counts(); open > 3 {
@@ -326,7 +341,7 @@
 		}
 	}
 	entered := make(chan struct{}, 3)
-	stuck := p.home(rawEndpoint(t, func(c net.Conn) {
+	stuck := w.home(p, w.endpoint(t, func(c net.Conn) {
 		in := bufio.NewReader(c)
 		readCall(in)
 		entered <- struct{}{}
@@ -348,7 +363,7 @@
 		<-over
 	}
 	waitFor(t, "places", func() bool { open, _ := p.counts(); return open == 0 })
-	refused := p.home("127.0.0.1:1")
+	refused := w.home(p, "127.0.0.1:1")
 	if o := newTestCall().made(t, refused, &record{ID: "m"}, testLimit); o.what != decide.NoConnect {
 		t.Errorf("refused: %+v", o)
 	}
@@ -359,10 +374,12 @@
 
 // Guards against what an endpoint closed or wrote to while it was idle: it
 // must not hold a descriptor until its next use.
-func TestPoolSweeps(t *testing.T) {
+func TestPoolSweeps(t *testing.T) { overEach(t, testPoolSweeps) }
+
+func testPoolSweeps(t *testing.T, w *way) {
 	end := make(chan struct{})
 	p := testPool(t)
-	h := p.home(rawEndpoint(t, func(c net.Conn) {
+	h := w.home(p, w.endpoint(t, func(c net.Conn) {
 		if readCall(bufio.NewReader(c)) {
 			io.WriteString(c, fine)
 			<-end
@@ -380,7 +397,7 @@
 	cancel()
 	<-done
 	// And one whose endpoint has left is not kept after its call.
-	gone := p.home(rawEndpoint(t, func(c net.Conn) {
+	gone := w.home(p, w.endpoint(t, func(c net.Conn) {
 		if readCall(bufio.NewReader(c)) {
 			io.WriteString(c, fine)
 			time.Sleep(time.Millisecond)
--- a/internal/relay/securepool.go
+++ b/internal/relay/securepool.go
@@ -20,6 +20,7 @@
 const (
 	housekeeping = time.Millisecond // for what a partner's TLS says unasked, to be read
 	saidMost     = 8                // times that it is read before a call
+	spoiltMost   = 2                // new connections of no use that one wait for a connection stands
 )
 
 // errNoTurn is a call that could not have its connection in time.
@@ -34,6 +35,9 @@
 func (p *pool) secureHome(addr string, peers *secure.Partners, endpoint uint64, dest int, flavor string) *home {
 	h := p.home(addr)
 	h.peer = peers.Peer(endpoint, dest, flavor, func() bool {
+		p.mu.Lock()
+		h.opening++
+		p.mu.Unlock()
 		opened, _, err := h.openSecure(true, true)
 		return err == nil && opened != nil
 	})
@@ -48,20 +52,45 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	deadline, bounded := ctx.Deadline()
+	p.mu.Lock()
+	h.waiting++
+	p.mu.Unlock()
+	waits := true
+	defer func() {
+		if waits {
+			p.mu.Lock()
+			h.waiting--
+			p.mu.Unlock()
+		}
+	}()
 	var opened <-chan error // of the one that this call has opened
-	for {
+	for spoilt := 0; ; {
 		p.mu.Lock()
 		now := time.Now()
-		c, again := h.take(now)
+		if h.closed {
+			p.mu.Unlock()
+			return nil, errDrained
+		}
+		c, again, bad := h.take(now)
+		if c != nil { // counted out at once: nobody opens one for it any more
+			waits = false
+			h.waiting--
+		}
 		if h.news == nil {
 			h.news = make(chan struct{})
 		}
-		news := h.news
+		news, wanted := h.news, c == nil && opened == nil && spoilt+bad < spoiltMost && h.opening < h.waiting
+		if wanted {
+			h.opening++
+		}
 		p.mu.Unlock()
 		if c != nil {
 			return c, nil
 		}
-		if opened == nil {
+		if spoilt += bad; spoilt >= spoiltMost {
+			return nil, errUnasked
+		}
+		if wanted {
 			began, at, err := h.openSecure(cold, false)
 			if err != nil {
 				return nil, err
@@ -83,7 +112,7 @@
 			if err != nil {
 				return nil, err
 			}
-			opened = nil // it is idle, unless another was faster
+			opened = nil // it is idle, unless another was faster or it is of no use already
 		case <-news:
 		case <-timer.C:
 		case <-ctx.Done():
@@ -95,11 +124,19 @@
 	}
 }
 
-// openSecure begins to open a connection, which is idle once it is open. Without
+// openSecure begins to open a connection, which its caller has counted as one
+// that is being opened, and which is idle once it is open. Without
 // a channel and an error it may not be begun now: at is when to ask again, zero
 // for once another one there has ended.
 func (h *home) openSecure(cold, scheduled bool) (opened <-chan error, at time.Time, err error) {
 	p := h.pool
+	defer func() {
+		if opened == nil {
+			p.mu.Lock()
+			h.opening--
+			p.mu.Unlock()
+		}
+	}()
 	turn, at, err := h.peer.Begin(cold, scheduled)
 	if err != nil || turn == nil {
 		return nil, at, err
@@ -118,6 +155,7 @@
 		conn, err := h.shake(ctx, turn)
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		h.opening--
 		switch {
 		case err != nil:
 			p.open--
@@ -155,18 +193,32 @@
 	defer c.SetReadDeadline(time.Time{})
 	for range saidMost {
 		c.SetReadDeadline(longAgo) // what was read from the socket already
-		if _, err := c.in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		if c.said() {
 			return false
 		}
+		c.SetReadDeadline(time.Time{})
 		if quiet(c.tls.Raw()) {
 			return c.tls.Whole()
 		}
 		c.SetReadDeadline(time.Now().Add(housekeeping))
-		if _, err := c.in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		if c.said() {
 			return false
 		}
 	}
 	return false
 }
 
+// said reports whether something comes by the read's deadline that is not
+// housekeeping: bytes, the end, or the partner's word that it does not accept us.
+func (c *poolConn) said() bool {
+	_, err := c.in.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	if err != nil {
+		c.tls.Peer().Refused(err)
+	}
+	return true
+}
+
 var _ net.Conn = (*secure.Conn)(nil)
--- /dev/null
+++ b/internal/relay/tls_relay_test.go
@@ -0,0 +1,143 @@
+package relay
+
+import (
+	"crypto/tls"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"troutusher/internal/devca"
+)
+
+// newTLSEndpoint is a partner's endpoint over TLS that shows what own says.
+func newTLSEndpoint(t *testing.T, own func() *devca.Made, answer func(w http.ResponseWriter, r *http.Request, n int)) *fakeEndpoint {
+	e := newFakeEndpoint(t, answer)
+	handler := e.Config.Handler
+	e.CloseClientConnections()
+	e.Close()
+	e.Server = httptest.NewUnstartedServer(handler)
+	// A session would go on under the proof that it was made by.
+	e.TLS = &tls.Config{SessionTicketsDisabled: true, GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+		c := own().TLS()
+		return &c, nil
+	}}
+	e.StartTLS()
+	t.Cleanup(func() { e.CloseClientConnections(); e.Close() })
+	return e
+}
+
+// operatorFile has a relay read the site's rule.
+func operatorFile(t *testing.T, s *tlsSite, env map[string]string, more string) {
+	t.Helper()
+	path := filepath.Join(s.dir, "operator.toml")
+	if err := os.WriteFile(path, []byte(s.file()+more), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	env["TROUTUSHER_OPERATOR"] = path
+}
+
+// Guards a whole relay against a partner that rotates to a certificate that it
+// must not be trusted by, and back: an unsafe message is not spent on it, what
+// cannot wait is refused with the time to come back, and no message is needed
+// for the partner to be found sound again. The others serve on.
+func TestRelayThroughARotation(t *testing.T) {
+	s := newTLSSite(t, nil)
+	var shown atomic.Pointer[devca.Made]
+	shown.Store(s.own)
+	ep := newTLSEndpoint(t, shown.Load, nil)
+	other := newFakeEndpoint(t, nil)
+	plain := other.member("o", 2)
+	plain.Flavor = "plain"
+	d := newFakeDiscovery(t, ep.member("e", 1), plain)
+	env := testConfig(t, d, 3)
+	operatorFile(t, s, env, "")
+	r := startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	if got := cl.put("a", fields("once", 10000, 1), []byte("b")); got != "+OK" {
+		t.Fatal(got)
+	}
+	waitFor(t, "the first delivery", func() bool { return ep.count("a") == 1 })
+	shown.Store(issued(t, s.root, "shop.example.org"))
+	ep.CloseClientConnections()
+	if got := cl.put("b", fields("once", 15000, 1), []byte("b")); got != "+OK" {
+		t.Fatal(got)
+	}
+	// It is held, and what cannot wait for the next proof is not taken on.
+	var refused string
+	waitFor(t, "a refusal", func() bool {
+		refused = cl.put("c", fields("plain", 300, 1), []byte("b"))
+		return strings.HasPrefix(refused, "-BUSY ")
+	})
+	if refused == "-BUSY" || strings.HasSuffix(refused, " 0") {
+		t.Errorf("refused without a time: %q", refused)
+	}
+	if got := cl.put("d", fields("once", 10000, 2), []byte("b")); got != "+OK" {
+		t.Error(got)
+	}
+	waitFor(t, "the other partner", func() bool { return other.count("d") == 1 })
+	if n := ep.count("b"); n != 0 {
+		t.Errorf("the message reached a partner that is not trusted %d times", n)
+	}
+	shown.Store(s.own)
+	waitFor(t, "what was held", func() bool { return ep.count("b") == 1 })
+	r.kill()
+}
+
+// Guards an upgrade with calls over TLS: what is out ends in the old process,
+// none is made twice, and the new process serves the partner on.
+func TestUpgradeWithCallsOverTLS(t *testing.T) {
+	s := newTLSSite(t, nil)
+	entered, release := make(chan struct{}, 8), make(chan struct{})
+	ep := newTLSEndpoint(t, func() *devca.Made { return s.own }, func(w http.ResponseWriter, r *http.Request, n int) {
+		if n == 1 {
+			entered <- struct{}{}
+			<-release
+		}
+	})
+	d := newFakeDiscovery(t, ep.member("e", 1))
+	env := testConfig(t, d, 3)
+	env["ROUTER_CONSOLE"] = freeAddr(t)
+	operatorFile(t, s, env, "")
+	startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	if got := cl.put("a", fields("once", 15000, 1), []byte("b")); got != "+OK" {
+		t.Fatal(got)
+	}
+	<-entered
+	b := another(t, env)
+	// The old process comes to rest only once its call has ended.
+	close(release)
+	waitFor(t, "the new process", b.yes)
+	if got := cl.put("b", fields("once", 15000, 1), []byte("b")); got != "+OK" {
+		t.Fatal(got)
+	}
+	waitFor(t, "the next message", func() bool { return ep.count("b") == 1 })
+	if n := ep.count("a"); n != 1 {
+		t.Errorf("the call that was out was made %d times", n)
+	}
+	if _, told := d.notice("a"); told {
+		t.Error("the call that was out is told as failed")
+	}
+}
+
+// Guards the start: files that cannot be used end it, with the rule's name.
+func TestRelayWithBadKeys(t *testing.T) {
+	s := newTLSSite(t, nil)
+	s.rule.Roots = filepath.Join(s.dir, "none.pem")
+	d := newFakeDiscovery(t)
+	env := testConfig(t, d, 3)
+	operatorFile(t, s, env, "")
+	cfg, err := LoadConfig(func(k string) string { return env[k] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	if err := Run(cfg, quietLog(), stop, Reload{}); err == nil || !strings.Contains(err.Error(), "tls pay") || !strings.Contains(err.Error(), "none.pem") {
+		t.Errorf("got %v", err)
+	}
+
+}
--- /dev/null
+++ b/internal/relay/tls_test.go
@@ -0,0 +1,734 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/crypto/chacha20poly1305"
+
+	"troutusher/decide"
+	"troutusher/internal/devca"
+	"troutusher/internal/operator"
+	"troutusher/internal/secure"
+	"troutusher/internal/tlspolicy"
+)
+
+// sealer writes records of TLS 1.3 that crypto/tls does not let a server write,
+// under the server's own keys (RFC 8446 section 5.2 and 7.1).
+type sealer struct {
+	mu     sync.Mutex
+	secret []byte
+	seq    uint64
+	iv     []byte
+	aead   cipher.AEAD
+	suite  uint16
+}
+
+// Write takes lines of the key log.
+func (s *sealer) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := strings.Fields(string(line))
+	if len(f) == 3 && f[0] == "SERVER_TRAFFIC_SECRET_0" {
+		s.secret, _ = hex.DecodeString(f[2])
+	}
+	return len(line), nil
+}
+
+func expand(secret []byte, label string, n int) []byte {
+	info := binary.BigEndian.AppendUint16(nil, uint16(n))
+	info = append(info, byte(len("tls13 ")+len(label)))
+	info = append(append(info, "tls13 "+label...), 0)
+	out, err := hkdf.Expand(sha256.New, secret, string(info), n)
+	if err != nil {
+		panic(err)
+	}
+	return out
+}
+
+// keys derives the keys of the secret in use.
+func (s *sealer) keys(suite uint16) {
+	s.suite = suite
+	s.seq, s.iv = 0, expand(s.secret, "iv", 12)
+	if suite == tls.TLS_CHACHA20_POLY1305_SHA256 {
+		s.aead, _ = chacha20poly1305.New(expand(s.secret, "key", 32))
+		return
+	}
+	block, _ := aes.NewCipher(expand(s.secret, "key", 16))
+	s.aead, _ = cipher.NewGCM(block)
+}
+
+// seal makes a record of a kind of content.
+func (s *sealer) seal(kind byte, text []byte) []byte {
+	nonce := append([]byte{}, s.iv...)
+	for i := range 8 {
+		nonce[11-i] ^= byte(s.seq >> (8 * i))
+	}
+	s.seq++
+	n := len(text) + 1 + s.aead.Overhead()
+	head := []byte{23, 3, 3, byte(n >> 8), byte(n)}
+	return s.aead.Seal(head, nonce, append(append([]byte{}, text...), kind), head)
+}
+
+const (
+	recordAlert     = 21
+	recordHandshake = 22
+	recordData      = 23
+)
+
+// sealedEndpoint serves connections over TLS 1.3 whose records are made by hand
+// once the handshake is over.
+func sealedEndpoint(t testing.TB, s *tlsSite, serve func(c *tls.Conn, raw net.Conn, seal *sealer)) string {
+	return rawEndpoint(t, func(raw net.Conn) {
+		k := &sealer{}
+		c := tls.Server(raw, &tls.Config{Certificates: []tls.Certificate{s.own.TLS()}, MinVersion: tls.VersionTLS13, SessionTicketsDisabled: true, KeyLogWriter: k})
+		if c.Handshake() != nil {
+			return
+		}
+		k.keys(c.ConnectionState().CipherSuite)
+		serve(c, raw, k)
+	})
+}
+
+// alerts are those of RFC 8446 section 6 and RFC 5246 section 7.2, and some that
+// nobody has named.
+var alerts = []uint8{0, 10, 20, 21, 22, 30, 40, 41, 42, 43, 44, 45, 46, 47, 48, 49, 50, 51, 60, 70, 71, 80, 86, 90, 100, 109, 110, 111, 112, 113, 114, 115, 116, 120, 7, 200, 255}
+
+const userCanceled = 90
+
+// Guards the table of what ran: each alert in the handshake and before a call's
+// last byte says that it never ran; behind the last byte it may have, whatever
+// the alert is called. Those about who we are put the endpoint out.
+func TestAlertsProveByWhatWasSent(t *testing.T) {
+	for _, code := range alerts {
+		_, identity := tlspolicy.CauseOf(code)
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			s := newTLSSite(t, nil)
+			var conns atomic.Int32
+			inHandshake := rawEndpoint(t, func(c net.Conn) {
+				conns.Add(1)
+				c.Read(make([]byte, 4096)) // the client's hello
+				c.Write([]byte{recordAlert, 3, 3, 0, 2, 2, code})
+				c.Read(make([]byte, 4096))
+			})
+			o := newTestCall().made(t, s.home(testPool(t), inHandshake), &record{ID: "m"}, testLimit)
+			if !o.what.NeverRan() || (o.what == decide.NotSent) != identity && code != 0 {
+				t.Errorf("alert %d in the handshake: %+v", code, o)
+			}
+			if n := conns.Load(); n > 1 {
+				t.Errorf("alert %d in the handshake: %d connections for one call", code, n)
+			}
+			for _, whole := range []bool{false, true} {
+				s := newTLSSite(t, nil)
+				conns.Store(0)
+				addr := sealedEndpoint(t, s, func(c *tls.Conn, raw net.Conn, seal *sealer) {
+					conns.Add(1)
+					if whole && !readCall(bufio.NewReader(c)) {
+						return
+					}
+					raw.Write(seal.seal(recordAlert, []byte{2, code}))
+					if code != userCanceled { // no end by itself (RFC 8446 section 6.1)
+						io.Copy(io.Discard, raw)
+					}
+				})
+				p := testPool(t)
+				if !whole {
+					p.moment = testLimit // the alert ends it, however late it is
+				}
+				o := newTestCall().made(t, s.home(p, addr), &record{ID: "m", Body: []byte("b")}, testLimit)
+				if whole && o.what != decide.Reset || !whole && !o.what.NeverRan() {
+					t.Errorf("alert %d, whole %v: %+v", code, whole, o)
+				}
+				if !whole && (o.what == decide.NotSent) != identity {
+					t.Errorf("alert %d: %+v", code, o)
+				}
+				if n := conns.Load(); (whole || identity) && n != 1 || n > 2*connsMost {
+					t.Errorf("alert %d, whole %v: %d connections for one call", code, whole, n)
+				}
+				if out := s.partners.Counts().Out; (out == 1) != identity {
+					t.Errorf("alert %d, whole %v: %d endpoints out", code, whole, out)
+				}
+			}
+		})
+	}
+}
+
+// Guards what is believed where records are cut: a 200 whose first line came
+// whole is true though the rest is cut off without a farewell, or comes a byte a
+// record; and keys that are updated without end are no answer.
+func TestRecordsThatAreCut(t *testing.T) {
+	for name, x := range map[string]struct {
+		say  func(raw net.Conn, seal *sealer)
+		what decide.Outcome
+	}{
+		"a byte a record": {func(raw net.Conn, seal *sealer) {
+			for i := range len(fine) {
+				raw.Write(seal.seal(recordData, []byte{fine[i]}))
+			}
+		}, decide.Delivered},
+		"empty records between": {func(raw net.Conn, seal *sealer) {
+			for i := range 10 {
+				raw.Write(seal.seal(recordData, nil))
+				raw.Write(seal.seal(recordData, []byte{fine[i]}))
+			}
+			raw.Write(seal.seal(recordData, []byte(fine[10:])))
+		}, decide.Delivered},
+		"the first line, then cut without a farewell": {func(raw net.Conn, seal *sealer) {
+			raw.Write(seal.seal(recordData, []byte("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n")))
+		}, decide.Delivered},
+		"half of the first line's record": {func(raw net.Conn, seal *sealer) {
+			r := seal.seal(recordData, []byte(fine))
+			raw.Write(r[:len(r)/2])
+		}, decide.Reset},
+		"a refusal without its end": {func(raw net.Conn, seal *sealer) {
+			raw.Write(seal.seal(recordData, []byte("HTTP/1.1 503 F\r\nContent-Le")))
+		}, decide.Errored},
+		"a record that was tampered with": {func(raw net.Conn, seal *sealer) {
+			r := seal.seal(recordData, []byte(fine))
+			r[len(r)-1] ^= 1
+			raw.Write(r)
+			io.Copy(io.Discard, raw)
+		}, decide.Reset},
+		"keys updated once, then the answer": {func(raw net.Conn, seal *sealer) {
+			raw.Write(seal.update())
+			raw.Write(seal.seal(recordData, []byte(fine)))
+		}, decide.Delivered},
+		"keys updated without end": {func(raw net.Conn, seal *sealer) {
+			for range 1000 {
+				if _, err := raw.Write(seal.update()); err != nil {
+					return
+				}
+			}
+			io.Copy(io.Discard, raw)
+		}, decide.Reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newTLSSite(t, nil)
+			addr := sealedEndpoint(t, s, func(c *tls.Conn, raw net.Conn, seal *sealer) {
+				if readCall(bufio.NewReader(c)) {
+					x.say(raw, seal)
+				}
+			})
+			o := newTestCall().made(t, s.home(testPool(t), addr), &record{ID: "m", Body: []byte("b")}, testLimit)
+			if o.what != x.what {
+				t.Errorf("got %+v", o)
+			}
+		})
+	}
+}
+
+// update is a change of the server's keys (RFC 8446 section 4.6.3).
+func (s *sealer) update() []byte {
+	r := s.seal(recordHandshake, []byte{24, 0, 0, 1, 0})
+	s.secret = expand(s.secret, "traffic upd", 32)
+	s.keys(s.suite)
+	return r
+}
+
+// refusedBy runs calls against a partner that shows what it should not, and
+// tells how many bytes of plaintext the partner got.
+func refusedBy(t *testing.T, s *tlsSite, cfg *tls.Config) (o outcome, plaintext int64, conns int32) {
+	var got atomic.Int64
+	var n atomic.Int32
+	addr := rawEndpoint(t, func(raw net.Conn) {
+		n.Add(1)
+		c := tls.Server(raw, cfg)
+		if c.Handshake() != nil {
+			return
+		}
+		b := make([]byte, 100)
+		for {
+			k, err := c.Read(b)
+			if got.Add(int64(k)); err != nil {
+				return
+			}
+		}
+	})
+	h := s.home(testPool(t), addr)
+	for range 5 {
+		o = newTestCall().made(t, h, &record{ID: "m", Key: "secret-key", Body: []byte("body")}, testLimit)
+	}
+	h.close()
+	return o, got.Load(), n.Load()
+}
+
+// Guards messages against partners whose proof is not accepted, over both
+// versions: nothing is sent, the message never ran, the endpoint is out for its
+// own cause, and five messages make one handshake.
+func TestRefusedPartnersGetNothing(t *testing.T) {
+	now := time.Now()
+	type c = x509.Certificate
+	other := issued(t, nil, "other", devca.Authority)
+	for _, version := range []uint16{tls.VersionTLS12, tls.VersionTLS13} {
+		for name, x := range map[string]struct {
+			change func(s *tlsSite) // of the site, before its rule is read
+			show   func(s *tlsSite) *devca.Made
+			cause  tlspolicy.Cause
+		}{
+			"another name": {show: func(s *tlsSite) *devca.Made { return issued(t, s.root, "shop.example.org") }, cause: tlspolicy.WrongName},
+			"no name":      {show: func(s *tlsSite) *devca.Made { return issued(t, s.root, "x", devca.Names()) }, cause: tlspolicy.WrongName},
+			"its address": {show: func(s *tlsSite) *devca.Made {
+				return issued(t, s.root, "x", devca.Names("127.0.0.1"))
+			}, cause: tlspolicy.WrongName},
+			"a wildcard too wide": {show: func(s *tlsSite) *devca.Made { return issued(t, s.root, "*.org") }, cause: tlspolicy.WrongName},
+			"another root":        {show: func(*tlsSite) *devca.Made { return issued(t, other, partnerName) }, cause: tlspolicy.WrongRoot},
+			"signed by itself":    {show: func(*tlsSite) *devca.Made { return issued(t, nil, partnerName) }, cause: tlspolicy.WrongRoot},
+			"another root of the same name": {show: func(*tlsSite) *devca.Made {
+				return issued(t, issued(t, nil, "root", devca.Authority), partnerName)
+			}, cause: tlspolicy.WrongRoot},
+			"expired": {show: func(s *tlsSite) *devca.Made {
+				return issued(t, s.root, partnerName, devca.Valid(now.Add(-2*time.Hour), now.Add(-time.Minute)))
+			}, cause: tlspolicy.Expired},
+			"not yet valid": {show: func(s *tlsSite) *devca.Made {
+				return issued(t, s.root, partnerName, devca.Valid(now.Add(time.Minute), now.Add(time.Hour)))
+			}, cause: tlspolicy.NotYetValid},
+			"expired above": {show: func(s *tlsSite) *devca.Made {
+				return issued(t, issued(t, s.root, "mid", devca.Authority, devca.Valid(now.Add(-2*time.Hour), now.Add(-time.Minute))), partnerName)
+			}, cause: tlspolicy.Expired},
+			"no authority above": {show: func(s *tlsSite) *devca.Made {
+				return issued(t, issued(t, s.root, "mid", devca.Authority, func(x *c) { x.IsCA = false }), partnerName)
+			}, cause: tlspolicy.WrongRoot},
+			"for clients": {show: func(s *tlsSite) *devca.Made {
+				return issued(t, s.root, partnerName, func(x *c) { x.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth} })
+			}, cause: tlspolicy.BadChain},
+			"deeper than its authority may go": {show: func(s *tlsSite) *devca.Made {
+				short := issued(t, s.root, "short", devca.Authority, func(x *c) { x.MaxPathLen, x.MaxPathLenZero = 0, true })
+				return issued(t, issued(t, short, "deep", devca.Authority), partnerName)
+			}, cause: tlspolicy.BadChain},
+			"outside what its authority may name": {show: func(s *tlsSite) *devca.Made {
+				return issued(t, issued(t, s.root, "narrow", devca.Authority, func(x *c) {
+					x.PermittedDNSDomains, x.PermittedDNSDomainsCritical = []string{"shop.example.org"}, true
+				}), partnerName)
+			}, cause: tlspolicy.BadChain},
+			"not pinned": {change: func(s *tlsSite) {
+				s.rule.Pins = []string{tlspolicy.PinOf(other.Certificate).String(), tlspolicy.Pin{1}.String()}
+			}, cause: tlspolicy.WrongPin},
+			"revoked": {change: func(s *tlsSite) { s.revoke(t, s.own) }, cause: tlspolicy.IsRevoked},
+			"revocation unknown, and hard": {change: func(s *tlsSite) { s.rule.UnknownRevocation = "refuse" },
+				cause: tlspolicy.RevocationUnknown},
+			"must staple and does not": {show: func(s *tlsSite) *devca.Made {
+				return issued(t, s.root, partnerName, devca.MustStaple)
+			}, cause: tlspolicy.RevocationUnknown},
+			"wants a certificate that we lack": {cause: tlspolicy.RefusesUs},
+		} {
+			t.Run(name+" "+tls.VersionName(version), func(t *testing.T) {
+				t.Parallel()
+				s := newTLSSite(t, func(s *tlsSite, _ *operator.Handshakes) {
+					if x.change != nil {
+						x.change(s)
+					}
+				})
+				shown := s.own
+				if x.show != nil {
+					shown = x.show(s)
+				}
+				cfg := &tls.Config{Certificates: []tls.Certificate{shown.TLS()}, MinVersion: version, MaxVersion: version}
+				if x.cause == tlspolicy.RefusesUs {
+					cfg.ClientAuth, cfg.ClientCAs = tls.RequireAndVerifyClientCert, s.root.Pool()
+				}
+				o, plaintext, conns := refusedBy(t, s, cfg)
+				var out *secure.Out
+				if o.what != decide.NotSent || !errors.As(o.err, &out) || out.Failure.Cause != x.cause {
+					t.Errorf("got %+v, want %s", o, x.cause)
+				}
+				if plaintext != 0 || conns != 1 {
+					t.Errorf("%d bytes of plaintext at the partner in %d connections, want none in one", plaintext, conns)
+				}
+				if b := <-s.barred; b.wait <= 0 {
+					t.Errorf("the decision module is told %v", b)
+				}
+			})
+		}
+	}
+	t.Run("only an old version", func(t *testing.T) {
+		s := newTLSSite(t, nil)
+		o, plaintext, _ := refusedBy(t, s, &tls.Config{Certificates: []tls.Certificate{s.own.TLS()}, MaxVersion: tls.VersionTLS11, MinVersion: tls.VersionTLS10})
+		var out *secure.Out
+		if !errors.As(o.err, &out) || out.Failure.Cause != tlspolicy.NothingCommon || plaintext != 0 {
+			t.Errorf("got %+v, %d bytes", o, plaintext)
+		}
+	})
+	t.Run("no TLS at all", func(t *testing.T) {
+		s := newTLSSite(t, nil)
+		var got atomic.Int64
+		h := s.home(testPool(t), rawEndpoint(t, func(c net.Conn) {
+			b := make([]byte, 4096)
+			n, _ := c.Read(b)
+			if strings.Contains(string(b[:n]), "secret-key") {
+				got.Add(1)
+			}
+			io.WriteString(c, fine)
+		}))
+		o := newTestCall().made(t, h, &record{ID: "m", Key: "secret-key"}, testLimit)
+		h.close()
+		var out *secure.Out
+		if !errors.As(o.err, &out) || out.Failure.Cause != tlspolicy.NothingCommon || got.Load() != 0 {
+			t.Errorf("got %+v", o)
+		}
+	})
+}
+
+// revoke puts a certificate on the site's revocation list.
+func (s *tlsSite) revoke(t testing.TB, m *devca.Made) {
+	t.Helper()
+	text, err := devca.RevocationList(s.root, time.Now().Add(time.Hour), m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.rule.Revocations = filepath.Join(s.dir, "crl.pem")
+	if err := devca.Replace(s.rule.Revocations, text, 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answering serves calls one after the other, each with 200.
+func answering(c net.Conn) {
+	for in := bufio.NewReader(c); readCall(in); {
+		io.WriteString(c, fine)
+	}
+}
+
+func deliver(t *testing.T, h *home) {
+	t.Helper()
+	if o := newTestCall().made(t, h, &record{ID: "m", Body: []byte("b")}, testLimit); o.what != decide.Delivered {
+		t.Fatalf("got %+v", o)
+	}
+	settled(h)
+}
+
+// Guards a certificate that ends while its connection is open: the call that is
+// out on it ends well, and no other begins there.
+func TestExpiryOnAnOpenConnection(t *testing.T) {
+	s := newTLSSite(t, nil)
+	var conns atomic.Int32
+	entered, release := make(chan struct{}), make(chan struct{})
+	addr := tlsEndpoint(t, &tls.Config{Certificates: []tls.Certificate{s.own.TLS()}}, func(c net.Conn) {
+		conns.Add(1)
+		for in := bufio.NewReader(c); readCall(in); {
+			entered <- struct{}{}
+			<-release
+			io.WriteString(c, fine)
+		}
+	})
+	h := s.home(testPool(t), addr)
+	over := make(chan outcome, 1)
+	go func() { newTestCall().run(h, &record{ID: "a"}, testLimit, nil, func(o outcome) { over <- o }) }()
+	<-entered
+	s.skew.Store(int64(2 * time.Hour)) // its certificate ended an hour ago
+	close(release)
+	if o := <-over; o.what != decide.Delivered {
+		t.Errorf("the call that was out: %+v", o)
+	}
+	waitFor(t, "the connection's end", func() bool { open, _ := h.pool.counts(); return open == 0 })
+	o := newTestCall().made(t, h, &record{ID: "b"}, testLimit)
+	var out *secure.Out
+	if !errors.As(o.err, &out) || out.Failure.Cause != tlspolicy.Expired || o.what != decide.NotSent || conns.Load() != 1 {
+		t.Errorf("the next one: %+v, %d connections served", o, conns.Load())
+	}
+	h.close()
+}
+
+// Guards trust that changes: connections and sessions that were made under the
+// old roots carry no new call, and the endpoint is asked again by itself once
+// the operator has mended the file; no message is spent on that.
+func TestRootsReplaced(t *testing.T) {
+	s := newTLSSite(t, nil)
+	h := s.home(testPool(t), tlsEndpoint(t, &tls.Config{Certificates: []tls.Certificate{s.own.TLS()}}, answering))
+	deliver(t, h)
+	if _, idle := h.pool.counts(); idle != 1 {
+		t.Fatalf("%d idle", idle)
+	}
+	other := issued(t, nil, "other", devca.Authority)
+	if _, _, err := other.Write(s.dir, "roots", false); err != nil {
+		t.Fatal(err)
+	}
+	s.partners.Look()
+	if o := newTestCall().made(t, h, &record{ID: "b"}, testLimit); o.what != decide.NotSent {
+		t.Fatalf("under roots that do not know the partner: %+v", o)
+	}
+	if b := <-s.barred; b.wait == 0 {
+		t.Fatal("not barred")
+	}
+	if _, _, err := s.root.Write(s.dir, "roots", false); err != nil {
+		t.Fatal(err)
+	}
+	s.partners.Look()
+	for b := range s.barred {
+		if b.wait == 0 {
+			break // proved again, and no message was sent for it
+		}
+	}
+	if n := s.partners.Counts(); n.Full != 2 || n.Resumed != 0 {
+		t.Errorf("%+v: a session outlived the trust that it was made under", n)
+	}
+	settled(h)
+	deliver(t, h)
+	h.close()
+}
+
+// Guards the schedule: a partner that mends its certificate is found out without
+// a message.
+func TestPartnerComesBackByItself(t *testing.T) {
+	s := newTLSSite(t, nil)
+	var good atomic.Bool
+	wrong := issued(t, s.root, "shop.example.org").TLS()
+	right := s.own.TLS()
+	h := s.home(testPool(t), tlsEndpoint(t, &tls.Config{GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+		if good.Load() {
+			return &right, nil
+		}
+		return &wrong, nil
+	}}, answering))
+	if o := newTestCall().made(t, h, &record{ID: "a"}, testLimit); o.what != decide.NotSent {
+		t.Fatalf("got %+v", o)
+	}
+	good.Store(true)
+	for b := range s.barred {
+		if b.wait == 0 {
+			break
+		}
+	}
+	deliver(t, h)
+	h.close()
+}
+
+// Guards sessions: the second connection is resumed with both versions, a
+// session is shown once under TLS 1.3, and never for another rule.
+func TestSessionsAreResumed(t *testing.T) {
+	for _, version := range []uint16{tls.VersionTLS12, tls.VersionTLS13} {
+		t.Run(tls.VersionName(version), func(t *testing.T) {
+			s := newTLSSite(t, nil)
+			var conns, resumed atomic.Int32
+			cfg := &tls.Config{Certificates: []tls.Certificate{s.own.TLS()}, MinVersion: version, MaxVersion: version}
+			addr := tlsEndpoint(t, cfg, func(c net.Conn) {
+				conns.Add(1)
+				if c.(*tls.Conn).ConnectionState().DidResume {
+					resumed.Add(1)
+				}
+				answering(c)
+			})
+			h := s.home(testPool(t), addr)
+			for range 4 {
+				deliver(t, h)
+				h.closeIdle()
+			}
+			if n := s.partners.Counts(); n.Full != 1 || n.Resumed != 3 || conns.Load() != 4 || resumed.Load() != 3 {
+				t.Errorf("%+v; the partner saw %d, of them %d resumed", n, conns.Load(), resumed.Load())
+			}
+			// What a proof would not be accepted for any more, a session is not either.
+			s.skew.Store(int64(3 * time.Hour))
+			if o := newTestCall().made(t, h, &record{ID: "m"}, testLimit); o.what != decide.NotSent {
+				t.Errorf("after the certificate's end a session serves: %+v", o)
+			}
+			h.close()
+		})
+	}
+}
+
+// Guards a cold partner: thirty calls at once make one handshake at a time, and
+// take their turns on what there is.
+func TestColdPartnerIsOpenedOneAtATime(t *testing.T) {
+	s := newTLSSite(t, nil)
+	var under, most atomic.Int32
+	cfg := &tls.Config{GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+		if n := under.Add(1); n > most.Load() {
+			most.Store(n)
+		}
+		time.Sleep(2 * time.Millisecond) // a handshake is slow there
+		own := s.own.TLS()
+		return &own, nil
+	}, SessionTicketsDisabled: true, VerifyConnection: func(tls.ConnectionState) error { under.Add(-1); return nil }}
+	h := s.home(testPool(t), tlsEndpoint(t, cfg, answering))
+	over := make(chan outcome, 30)
+	for range 30 {
+		go func() {
+			c := newTestCall()
+			c.cold = true
+			c.run(h, &record{ID: "m"}, testLimit, nil, func(o outcome) { over <- o })
+		}()
+	}
+	for range 30 {
+		if o := <-over; o.what != decide.Delivered {
+			t.Errorf("got %+v", o)
+		}
+	}
+	if n := most.Load(); n != 1 {
+		t.Errorf("%d handshakes at once", n)
+	}
+	if n := s.partners.Counts().Full; n > 20 {
+		t.Errorf("%d handshakes for 30 calls that could share", n)
+	}
+	waitFor(t, "rest", func() bool { open, idle := h.pool.counts(); return open == idle })
+}
+
+// Guards our own core, and a message that cannot make it: where the budget
+// allows no handshake before the call's end, the call never ran, at once, with
+// the time to come back.
+func TestNoTurnInTime(t *testing.T) {
+	s := newTLSSite(t, func(_ *tlsSite, h *operator.Handshakes) { h.Share, h.BurstMS = 1e-6, 1 })
+	h := s.home(testPool(t), tlsEndpoint(t, &tls.Config{Certificates: []tls.Certificate{s.own.TLS()}}, answering))
+	deliver(t, h) // which takes all of the budget
+	h.closeIdle()
+	o := newTestCall().made(t, h, &record{ID: "m"}, time.Second)
+	var turn errNoTurn
+	if o.what != decide.NotSent || !errors.As(o.err, &turn) || o.wait < 1e6 || o.took > 500e3 {
+		t.Errorf("got %+v", o)
+	}
+}
+
+// Guards our own certificate that is replaced while fifty handshakes are in
+// flight, certificate and key one after the other: no call is lost, the pair
+// that does not match is never shown, and from then on the new one is.
+func TestOwnCertificateReplaced(t *testing.T) {
+	s := newTLSSite(t, func(s *tlsSite, h *operator.Handshakes) {
+		h.Parallel, h.Share, h.BurstMS = 50, 1, 1000
+		cert, key, err := issued(t, s.root, "relay one").Write(s.dir, "own", true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.rule.Certificate, s.rule.Key = cert, key
+	})
+	var mu sync.Mutex
+	shown := map[string]int{}
+	arrived, gate := make(chan struct{}, 200), make(chan struct{})
+	var open atomic.Bool
+	h := s.home(testPool(t), tlsEndpoint(t, &tls.Config{ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: s.root.Pool(),
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			if !open.Load() {
+				arrived <- struct{}{}
+				<-gate
+			}
+			own := s.own.TLS()
+			return &own, nil
+		}}, func(c net.Conn) {
+		mu.Lock()
+		shown[c.(*tls.Conn).ConnectionState().PeerCertificates[0].Subject.CommonName]++
+		mu.Unlock()
+		answering(c)
+	}))
+	over := make(chan outcome, 100)
+	send := func(n int) {
+		for range n {
+			go func() { newTestCall().run(h, &record{ID: "m"}, testLimit, nil, func(o outcome) { over <- o }) }()
+		}
+	}
+	send(50)
+	for range 50 {
+		<-arrived
+	}
+	two := issued(t, s.root, "relay two")
+	if err := devca.Replace(s.rule.Certificate, two.CertPEM(), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	s.partners.Look() // the moment between: the old pair goes on
+	open.Store(true)
+	close(gate)
+	for range 50 {
+		if o := <-over; o.what != decide.Delivered {
+			t.Errorf("got %+v", o)
+		}
+	}
+	waitFor(t, "all handshakes", func() bool {
+		h.pool.mu.Lock()
+		opening := h.opening
+		h.pool.mu.Unlock()
+		mu.Lock()
+		defer mu.Unlock()
+		return opening == 0 && int64(shown["relay one"]) == s.partners.Counts().Full
+	})
+	mu.Lock()
+	if len(shown) != 1 {
+		t.Errorf("shown: %v", shown)
+	}
+	clear(shown)
+	mu.Unlock()
+	key, err := two.KeyPEM()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := devca.Replace(s.rule.Key, key, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.partners.Look()
+	settled(h)
+	send(20)
+	for range 20 {
+		if o := <-over; o.what != decide.Delivered {
+			t.Errorf("got %+v", o)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(shown) != 1 || shown["relay two"] == 0 {
+		t.Errorf("shown after the change: %v", shown)
+	}
+	h.close()
+	waitFor(t, "rest", func() bool { open, _ := h.pool.counts(); return open == 0 })
+}
+
+// Guards what never ran: a reset at each write before the last byte, and the
+// write that carries it.
+func TestBrokenAtEachWriteOverTLS(t *testing.T) {
+	for at := 1; ; at++ {
+		s := newTLSSite(t, nil)
+		var calls atomic.Int32
+		p := testPool(t)
+		h := s.home(p, tlsEndpoint(t, &tls.Config{Certificates: []tls.Certificate{s.own.TLS()}}, func(c net.Conn) {
+			if readCall(bufio.NewReader(c)) {
+				calls.Add(1)
+				io.WriteString(c, fine)
+			}
+		}))
+		dial := h.dial
+		broke := false
+		h.dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			c, err := dial(ctx, addr)
+			if err != nil || broke {
+				return c, err
+			}
+			broke = true
+			return &breakingAt{TCPConn: c.(*net.TCPConn), at: at}, nil
+		}
+		o := newTestCall().made(t, h, &record{ID: "m", Body: []byte("b")}, testLimit)
+		if calls.Load() > 1 || o.what == decide.Delivered && calls.Load() != 1 || o.what != decide.Delivered && (!o.what.NeverRan() || calls.Load() != 0) {
+			t.Fatalf("broken at write %d: %+v, and %d calls", at, o, calls.Load())
+		}
+		h.close()
+		if at > 8 {
+			return
+		}
+	}
+}
+
+type breakingAt struct {
+	*net.TCPConn
+	at, writes int
+}
+
+func (b *breakingAt) Write(p []byte) (int, error) {
+	if b.writes++; b.writes == b.at {
+		b.TCPConn.Close()
+		return 0, os.ErrClosed
+	}
+	return b.TCPConn.Write(p)
+}
--- a/internal/secure/handshake.go
+++ b/internal/secure/handshake.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
+	"os"
 	"runtime"
 	"sync"
 	"time"
@@ -61,6 +63,7 @@
 	e, p := t.e, t.e.p
 	c := &Conn{edge: &edge{Conn: raw}, raw: raw, peer: e, gen: t.gen}
 	var failure *tlspolicy.Failure
+	asked := false // for our certificate
 	verify := func(cs tls.ConnectionState) (*tlspolicy.Proof, *tlspolicy.Failure) {
 		set := e.rule.store.Current()
 		policy := e.rule.policy
@@ -83,6 +86,7 @@
 			return nil
 		},
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			asked = true
 			if t.set.Own == nil {
 				return &tls.Certificate{}, nil
 			}
@@ -103,6 +107,11 @@
 	if err == nil {
 		cs = c.Conn.ConnectionState()
 		c.Resumed = cs.DidResume
+		if asked && cs.Version == tls.VersionTLS13 {
+			err = c.accepted(cache)
+		}
+	}
+	if err == nil {
 		if e.rule.gen.Load() != t.gen { // trust changed meanwhile
 			if _, failure = verify(cs); failure != nil {
 				err = failure
@@ -122,6 +131,9 @@
 	}
 	if failure == nil {
 		if cause, ok := causeOf(err); ok {
+			if asked && cause == tlspolicy.NothingCommon {
+				cause = tlspolicy.RefusesUs // RFC 5246 section 7.4.6: its word for a certificate that is missing
+			}
 			failure = &tlspolicy.Failure{Cause: cause, Rule: e.rule.set.Name, Err: err}
 		} else if !accident(ctx, err) {
 			failure = &tlspolicy.Failure{Cause: tlspolicy.NothingCommon, Rule: e.rule.set.Name, Err: err}
@@ -134,6 +146,31 @@
 	return nil, err
 }
 
+// confirmWait is how long a partner that asked for our certificate has to refuse
+// it before a call is trusted to the connection.
+const confirmWait = 100 * time.Millisecond
+
+// accepted gives a partner that asked for our certificate a moment to refuse it.
+// With TLS 1.3 the handshake is over here before it has looked at ours (RFC 8446
+// section 4.4.2.4); a new session is its word that it has.
+func (c *Conn) accepted(cache *tickets) error {
+	c.SetReadDeadline(time.Now().Add(confirmWait))
+	defer c.SetReadDeadline(time.Time{})
+	cache.arrived = func() { c.SetReadDeadline(time.Unix(1, 0)) } // which ends the read below
+	defer func() { cache.arrived = nil }()
+	for !cache.given() {
+		switch n, err := c.Read(make([]byte, 1)); {
+		case n > 0:
+			return errors.New("bytes before the first call")
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+	return nil
+}
+
 // proved books a proof. The caller holds mu.
 func (p *Partners) proved(e *Peer, c *Conn) {
 	if c.Resumed {
@@ -184,6 +221,7 @@
 	offered *tls.ClientSessionState
 	until   time.Time // of the proof; zero before it
 	early   *tls.ClientSessionState
+	arrived func() // told of a session that comes before the proof is booked
 }
 
 // Get gives the session of this turn.
@@ -195,6 +233,13 @@
 	return s, s != nil
 }
 
+// given reports whether a session has come in this handshake.
+func (t *tickets) given() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.early != nil
+}
+
 // Put keeps a session that the partner gave.
 func (t *tickets) Put(_ string, s *tls.ClientSessionState) {
 	if s == nil {
@@ -206,6 +251,9 @@
 		t.early = s
 	}
 	t.mu.Unlock()
+	if early && t.arrived != nil { // by the goroutine that reads
+		t.arrived()
+	}
 	if !early { // until does not change any more
 		t.p.mu.Lock()
 		defer t.p.mu.Unlock()
