--- a/internal/devca/devca.go
+++ b/internal/devca/devca.go
@@ -71,6 +71,9 @@
 	return nil, fmt.Errorf("key of kind %q: want p256, rsa2048 or ed25519", k)
 }
 
+// Template is what a certificate is made from.
+type Template = x509.Certificate
+
 // Made is a certificate with its key, and those above it.
 type Made struct {
 	*x509.Certificate
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -41,11 +41,11 @@
 
 // Set is what the files held at one moment.
 type Set struct {
-	Own   *tls.Certificate // nil where none is named
-	Roots *x509.CertPool   // nil where none is named
-	Count int              // of roots
-	Until time.Time        // the end of our own certificate, zero without one
-	Lists *tlspolicy.Lists // nil where none is named
+	Own   *tls.Certificate    // nil where none is named
+	Roots *x509.CertPool      // nil where none is named
+	Certs []*x509.Certificate // the roots
+	Until time.Time           // the end of our own certificate, zero without one
+	Lists *tlspolicy.Lists    // nil where none is named
 
 	RootsSum, OwnSum []byte // what stands for them where sessions are told apart
 }
@@ -103,7 +103,7 @@
 			}
 			set.Roots.AddCert(c)
 		}
-		set.Count = len(certs)
+		set.Certs = certs
 		roots := sha256.Sum256(text)
 		set.RootsSum = roots[:]
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -72,6 +72,9 @@
 	TimeoutS float64 `toml:"timeout_s"`
 	// Sessions is how many sessions are kept for resumption; -1 for none.
 	Sessions int `toml:"sessions"`
+	// SessionKey is a file with 32 bytes or more, under a key derived from which
+	// sessions outlast the process in its state folder; empty for not.
+	SessionKey string `toml:"session_key"`
 }
 
 // Clients is what concerns the connections of clients.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -19,26 +19,68 @@
 	}
 }
 
+const rule = "[[tls]]\nname = \"pay\"\ndestinations = [3]\nserver_name = \"pay.example.org\"\nroots = \"r.pem\"\n"
+
+func TestParseTLS(t *testing.T) {
+	f, err := Parse("o.toml", []byte(rule+"handshake_weight = 0\nwarn_days = 30\nunknown_revocation = \"refuse\"\n[handshakes]\nshare = 0.5\nburst_ms = 1\nsessions = -1\ntimeout_s = 1.5\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, h := &f.TLS[0], &f.Handshakes
+	r, err := x.Rule()
+	if err != nil || !r.Hard || r.ServerName != "pay.example.org" || x.Opening() != 0 || x.Warn() != 30*24*time.Hour || x.Files().Roots != "r.pem" {
+		t.Errorf("%+v %+v %v", x, r, err)
+	}
+	l := h.Limits()
+	if l.Check() != nil || l.Share != 0.5 || l.Burst != time.Millisecond || h.Kept() != 0 || h.Timeout() != 1500*time.Millisecond {
+		t.Errorf("%+v %+v", l, h)
+	}
+	f, err = Parse("o.toml", []byte(rule))
+	if err != nil || f.TLS[0].Opening() != 1 || f.Handshakes.Kept() != 256 || f.Handshakes.Timeout() != 3*time.Second {
+		t.Errorf("%+v %v", f, err)
+	}
+}
+
 // Each error names file, line and key.
 func TestErrors(t *testing.T) {
 	for text, want := range map[string]string{
-		"[clients]\nlisten = [\"nowhere\"]\n":                                  "o.toml:2: clients.listen: address nowhere: missing port",
-		"[clients]\nlisten = [\"localhost:1\"]\n":                              "o.toml:2: clients.listen: localhost:1: the host must be an address",
-		"[clients]\nlisten = [\"127.0.0.1:0\"]\n":                              "o.toml:2: clients.listen: 127.0.0.1:0: the port",
-		"[clients]\nlisten = [\"127.0.0.1:1\",\"127.0.0.1:1\"]\n":              "o.toml:2: clients.listen: 127.0.0.1:1: named twice",
-		"[clients]\n\ndescriptors = 63\n":                                      "o.toml:3: clients.descriptors: 63, want 64 to 1048576",
-		"[clients]\ndescriptors = 100\nplaces = 100\n":                         "o.toml:3: clients.places: 100 with 100 descriptors",
-		"[clients]\nplaces = 10\nstrangers = 11\n":                             "o.toml:3: clients.strangers: 11 of 10 places",
-		"[clients]\nidle_s = 1.9\n":                                            "o.toml:2: clients.idle_s: 1.9, want 2 to 86400",
-		"[clients]\nidle_s = nan\n":                                            "o.toml:2: clients.idle_s: NaN",
-		"[clients]\nidle_s = inf\n":                                            "o.toml:2: clients.idle_s: +Inf",
-		"[clients]\nmemory_mb = -1\n":                                          "o.toml:2: clients.memory_mb: -1",
-		"[clients]\nasked_most = -1\n":                                         "o.toml:2: clients.asked_most: -1",
-		"[clients]\nplaces = \"many\"\n":                                       "o.toml:2: ",
-		"[clients]\nplace = 1\n":                                               "o.toml:2: clients.place: unknown key",
-		"[client]\n":                                                           "o.toml:1: client: unknown key",
-		"[clients\n":                                                           "o.toml:1: ",
-		"[clients]\nlisten = [" + strings.Repeat("\"127.0.0.1:9\",", 65) + "]": "o.toml:2: clients.listen: 65 addresses",
+		"[clients]\nlisten = [\"nowhere\"]\n":                                "o.toml:2: clients.listen: address nowhere: missing port",
+		"[clients]\nlisten = [\"localhost:1\"]\n":                            "o.toml:2: clients.listen: localhost:1: the host must be an address",
+		"[clients]\nlisten = [\"127.0.0.1:0\"]\n":                            "o.toml:2: clients.listen: 127.0.0.1:0: the port",
+		"[clients]\nlisten = [\"127.0.0.1:1\",\"127.0.0.1:1\"]\n":            "o.toml:2: clients.listen: 127.0.0.1:1: named twice",
+		"[clients]\n\ndescriptors = 63\n":                                    "o.toml:3: clients.descriptors: 63, want 64 to 1048576",
+		"[clients]\ndescriptors = 100\nplaces = 100\n":                       "o.toml:3: clients.places: 100 with 100 descriptors",
+		"[clients]\nplaces = 10\nstrangers = 11\n":                           "o.toml:3: clients.strangers: 11 of 10 places",
+		"[clients]\nidle_s = 1.9\n":                                          "o.toml:2: clients.idle_s: 1.9, want 2 to 86400",
+		"[clients]\nidle_s = nan\n":                                          "o.toml:2: clients.idle_s: NaN",
+		"[clients]\nidle_s = inf\n":                                          "o.toml:2: clients.idle_s: +Inf",
+		"[clients]\nmemory_mb = -1\n":                                        "o.toml:2: clients.memory_mb: -1",
+		"[clients]\nasked_most = -1\n":                                       "o.toml:2: clients.asked_most: -1",
+		"[clients]\nplaces = \"many\"\n":                                     "o.toml:2: ",
+		"[clients]\nplace = 1\n":                                             "o.toml:2: clients.place: unknown key",
+		"[client]\n":                                                         "o.toml:1: client: unknown key",
+		"[clients\n":                                                         "o.toml:1: ",
+		"[[tls]]\ndestinations = [1]\nserver_name = \"x\"\nroots = \"r\"\n":  "o.toml:1: tls[0].name: missing",
+		"[[tls]]\nname = \"p\"\ndestinations = [1]\nroots = \"r\"\n":         "o.toml:1: tls[0].server_name: missing",
+		"[[tls]]\nname = \"p\"\ndestinations = [1]\nserver_name = \"x\"\n":   "o.toml:1: tls[0].roots: missing",
+		"[[tls]]\nname = \"p\"\nserver_name = \"x\"\nroots = \"r\"\n":        "o.toml:1: tls: rule \"p\": names no destination",
+		rule + "pins = [\"AAAA\"]\n":                                         "o.toml:6: tls[0].pins: pin",
+		rule + "pins = [\"AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=\"]\n": "o.toml:6: tls[0].pins: one alone",
+		rule + "key = \"k\"\n":                                               "tls[0].certificate: certificate and key",
+		rule + "unknown_revocation = \"maybe\"\n":                            "o.toml:6: tls[0].unknown_revocation: \"maybe\"",
+		rule + "min_version = \"1.1\"\n":                                     "o.toml:6: tls[0].min_version: \"1.1\"",
+		rule + "handshake_weight = -1\n":                                     "o.toml:6: tls[0].handshake_weight: -1",
+		rule + "handshake_weight = nan\n":                                    "o.toml:6: tls[0].handshake_weight: NaN",
+		rule + "warn_days = 400\n":                                           "o.toml:6: tls[0].warn_days: 400",
+		rule + "[handshakes]\nshare = 1.1\n":                                 "o.toml:7: handshakes.share: 1.1",
+		rule + "[handshakes]\nshare = nan\n":                                 "o.toml:7: handshakes.share: NaN",
+		rule + "[handshakes]\nburst_ms = 0.5\n":                              "o.toml:7: handshakes.burst_ms: 0.5",
+		rule + "[handshakes]\nparallel = 65\n":                               "o.toml:7: handshakes.parallel: 65",
+		rule + "[handshakes]\ntimeout_s = 31\n":                              "o.toml:7: handshakes.timeout_s: 31",
+		rule + "[handshakes]\nsessions = -2\n":                               "o.toml:7: handshakes.sessions: -2",
+		rule + "[[tls]]\nname = \"pay\"\ndestinations = [4]\nserver_name = \"x\"\nroots = \"r\"\n": "tls[1].name: \"pay\" is named twice",
+		rule + "[[tls]]\nname = \"b\"\ndestinations = [3]\nserver_name = \"x\"\nroots = \"r\"\n":   "rule \"b\": destination 3 is named by rule \"pay\"",
+		"[clients]\nlisten = [" + strings.Repeat("\"127.0.0.1:9\",", 65) + "]":                     "o.toml:2: clients.listen: 65 addresses",
 	} {
 		if _, err := Parse("o.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v, want %s", text, err, want)
--- a/internal/rehearse/scenario/plan.go
+++ b/internal/rehearse/scenario/plan.go
@@ -27,6 +27,7 @@
 	Partner int // index in Specs
 	Hall    string
 	Kind    string
+	TLS     *TLS // nil where it is reached without
 }
 
 // Arrival is one message that a client is going to hand in.
@@ -82,12 +83,15 @@
 				Errors: x.Errors, Cancel: partner.Cancel(x.Cancel),
 				Limit: partner.Limit{Kind: partner.LimitKind(x.Limit), PerSecond: x.LimitPerS, Depth: x.LimitDepth,
 					Window: Micros(x.WindowMS), RefusedSpend: x.RefusedSpend, Wait: Micros(x.WaitMS)}}
+			if x.TLS != nil {
+				spec.Full, spec.Resumed = x.TLS.Full, x.TLS.Resumed
+			}
 			for _, c := range s.Classes {
 				ms, _ := x.service(c.Name)
 				spec.Service = append(spec.Service, partner.Service{Mean: Micros(ms), Dist: draw.Dist(x.Dist), CV: x.CV})
 			}
 			for e := range x.Endpoints {
-				p.Endpoints = append(p.Endpoints, Endpoint{Name: fmt.Sprintf("%s/%d", name, e+1), Partner: len(p.Specs),
+				p.Endpoints = append(p.Endpoints, Endpoint{Name: fmt.Sprintf("%s/%d", name, e+1), Partner: len(p.Specs), TLS: x.TLS,
 					Hall: s.Relays.Halls[len(p.Endpoints)%len(s.Relays.Halls)], Kind: x.Kind})
 			}
 			p.Specs = append(p.Specs, spec)
--- a/internal/rehearse/scenario/scenario.go
+++ b/internal/rehearse/scenario/scenario.go
@@ -12,6 +12,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"troutusher/internal/devca"
 	"troutusher/internal/draw"
 	"troutusher/internal/standin/partner"
 	"troutusher/internal/tomlfile"
@@ -151,8 +152,34 @@
 	KeyMemoryMS  float64            `toml:"key_memory_ms"`
 	Errors       float64            `toml:"errors"`
 	Cancel       string             `toml:"cancel"` // none, queued or all
+	TLS          *TLS               `toml:"tls,omitempty"`
 }
 
+// TLS is how a partner is reached over TLS. Its certificates are made anew for
+// each rehearsal.
+type TLS struct {
+	Version    string  `toml:"version"`     // 1.2 or 1.3; either where empty
+	Key        string  `toml:"key"`         // p256, rsa2048 or ed25519
+	DelayMS    float64 `toml:"delay_ms"`    // what a handshake takes longer
+	Full       float64 `toml:"full_weight"` // calls that a full handshake weighs, 0 for none
+	Resumed    float64 `toml:"resumed"`     // calls that a resumed one weighs
+	Told       float64 `toml:"told_weight"` // what the relays are told that one weighs
+	NoSessions bool    `toml:"no_sessions"` // nothing is resumed
+	WantsOurs  bool    `toml:"wants_ours"`  // the relays' own certificate is demanded
+	Share      float64 `toml:"share"`       // part of one core that the relays may spend on handshakes; a quarter where 0
+}
+
+// Kinds of fault of partners that are reached over TLS: what they show while one
+// holds. All but the first and the last must not be believed.
+const (
+	TLSRotate    = "tls_rotate"     // another certificate, from another authority under the same root, with another pinned key
+	TLSExpired   = "tls_expired"    // one that is out of time
+	TLSWrongName = "tls_wrong_name" // one for another name
+	TLSWrongRoot = "tls_wrong_root" // one from a root that nobody trusts
+	TLSReset     = "tls_reset"      // nothing: connections are reset in the handshake
+	TLSForget    = "tls_forget"     // the right one, and no session is remembered from before
+)
+
 // Fault is something that goes wrong.
 type Fault struct {
 	Kind     string   `toml:"kind"`
@@ -214,6 +241,12 @@
 	string(partner.Tail):     {partner: true, length: true, share: true, size: true, sizeMin: 1, class: true},
 	Drain:                    {partner: true, length: true},
 	Remove:                   {partner: true, length: true},
+	TLSRotate:                {partner: true, length: true},
+	TLSExpired:               {partner: true, length: true},
+	TLSWrongName:             {partner: true, length: true},
+	TLSWrongRoot:             {partner: true, length: true},
+	TLSReset:                 {partner: true, length: true},
+	TLSForget:                {partner: true, length: true},
 	ListLate:                 {length: true, size: true, sizeMin: 0.001},
 	ListStale:                {length: true},
 	ListSilent:               {length: true},
@@ -515,6 +548,15 @@
 		c.word(key+".dist", p.Dist, string(draw.Fixed), string(draw.Exp), string(draw.LogNormal))
 		c.word(key+".limit", p.Limit, string(partner.NoLimit), string(partner.RateLimit), string(partner.WindowLimit))
 		c.word(key+".cancel", p.Cancel, string(partner.CancelNone), string(partner.CancelQueued), string(partner.CancelAll))
+		if x := p.TLS; x != nil {
+			c.word(key+".tls.version", x.Version, "", "1.2", "1.3")
+			c.word(key+".tls.key", x.Key, "", string(devca.P256), string(devca.RSA2048), string(devca.Ed25519))
+			c.between(key+".tls.delay_ms", x.DelayMS, 0, 10_000)
+			c.between(key+".tls.full_weight", x.Full, 0, 100)
+			c.between(key+".tls.resumed", x.Resumed, 0, 100)
+			c.between(key+".tls.told_weight", x.Told, 0, 100)
+			c.between(key+".tls.share", x.Share, 0, 1)
+		}
 		if p.Limit != string(partner.NoLimit) {
 			c.between(key+".limit_per_s", p.LimitPerS, 0.01, 1e6)
 			c.between(key+".limit_depth", p.LimitDepth, 0, 1e6)
@@ -584,6 +626,9 @@
 					c.wrong(key+".partner", "no partner %q", name)
 				}
 			}
+			if strings.HasPrefix(f.Kind, "tls_") && slices.ContainsFunc(s.Partners, func(p Partner) bool { return p.TLS == nil && f.names(p.Name, p.Count) }) {
+				c.wrong(key+".partner", "%s is about partners with tls", f.Kind)
+			}
 			c.between(key+".part", f.Part, 1e-6, 1)
 		} else if len(f.named()) > 0 {
 			c.wrong(key+".partner", "%s is not about a partner", f.Kind)
@@ -620,6 +665,16 @@
 	}
 }
 
+// names reports whether a fault is about a partner of a table.
+func (f *Fault) names(name string, count int) bool {
+	for _, x := range f.named() {
+		if x == "*" || x == name || count > 1 && strings.HasPrefix(x, name+"-") {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *Fault) named() []string {
 	if f.Partner != "" {
 		return append([]string{f.Partner}, f.Partners...)
--- a/internal/rehearse/stage/stage.go
+++ b/internal/rehearse/stage/stage.go
@@ -75,17 +75,18 @@
 
 // Stage is one rehearsal.
 type Stage struct {
-	plan   *scenario.Plan
-	opt    Options
-	began  time.Time
-	hub    *hub
-	world  *h1.Server
-	reg    *registry.Registry
-	relays []*relay
-	agents []Agent
-	spawn  *spawner
-	driver *load.Driver
-	start  atomic.Int64 // moment of the plan's beginning
+	plan    *scenario.Plan
+	opt     Options
+	began   time.Time
+	hub     *hub
+	secrets *secrets // nil without TLS
+	world   *h1.Server
+	reg     *registry.Registry
+	relays  []*relay
+	agents  []Agent
+	spawn   *spawner
+	driver  *load.Driver
+	start   atomic.Int64 // moment of the plan's beginning
 
 	mu      sync.Mutex
 	crashes []string
@@ -121,6 +122,14 @@
 	if s.world, err = h1.New(world, n, s.now); err != nil {
 		return err
 	}
+	if s.secrets, err = newSecrets(p, s.opt.Dir); err != nil {
+		return err
+	}
+	env := s.opt.Env
+	if s.secrets != nil {
+		s.world.Secure(s.secrets.show)
+		env = append(slices.Clone(env), s.secrets.env())
+	}
 	d := &p.Scenario.Discovery
 	s.reg, err = registry.New(registry.Config{Relays: n, Seed: p.Seed, Clock: s.now, Emit: s.hub.emit,
 		Delay: millis(d.DelayMS), Spread: millis(d.SpreadMS),
@@ -136,7 +145,7 @@
 		if err != nil {
 			return err
 		}
-		r.env, r.crashed = s.opt.Env, s.crashed
+		r.env, r.crashed = env, s.crashed
 		s.relays = append(s.relays, r)
 		a := Agent{Listen: r.listen, Discovery: s.reg.Addr(i), Process: true}
 		if s.opt.Relays != nil {
@@ -397,6 +406,9 @@
 			}()
 		}), over)
 	}
+	if strings.HasPrefix(f.Kind, "tls_") {
+		return span(s.secrets.fault(f.Kind, f.Endpoints))
+	}
 	fault := &partner.Fault{Kind: partner.FaultKind(f.Kind), Size: f.Size, Share: f.Share, Class: f.Class, Form: partner.Form(f.Form)}
 	return span(func() {
 		s.world.Do(func(w *partner.World, now partner.Time) {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"troutusher/decide"
@@ -49,7 +50,8 @@
 	events    []core.Event
 	effects   []core.Effect
 	pool      *pool
-	partners  *secure.Partners // nil without TLS
+	partners  *secure.Partners                // nil without TLS
+	shown     atomic.Pointer[secure.Partners] // the same, for the console
 	out       outgoing
 	got       []happening
 	taking    *taking
@@ -82,11 +84,13 @@
 	set := core.Settings{Policy: cfg.Policy, Seed: cfg.Seed, Epoch: r.began.UnixMicro() - clockStart,
 		Zones: cfg.zones, Kinds: cfg.kinds, Classes: cfg.classes, Tenants: cfg.tenants}
 	if len(cfg.TLS) > 0 {
-		r.partners, err = secure.New(secure.Options{Rules: cfg.TLS, Handshakes: cfg.Handshakes, Log: log, Seed: cfg.Seed, Barred: r.barred})
+		r.partners, err = secure.New(secure.Options{Rules: cfg.TLS, Handshakes: cfg.Handshakes, Log: log, Seed: cfg.Seed, State: cfg.State, Barred: r.barred})
 		if err != nil {
 			return err
 		}
 		set.Opening = r.partners.Opening
+		r.shown.Store(r.partners)
+		defer r.partners.Save(cfg.State)
 		go r.partners.Run(ctx)
 	}
 	r.core, err = core.New(set)
--- a/internal/relay/operate.go
+++ b/internal/relay/operate.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"fmt"
 	"log/slog"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,10 +71,30 @@
 		},
 		Drain:   told("drain", (*duty.Machine).Drain),
 		Undrain: told("undrain", (*duty.Machine).Undrain),
-		Stats:   r.board.Append,
+		Stats:   r.stats,
 	}
 }
 
+// stats writes all figures; those of TLS where there is a rule for it.
+func (r *Relay) stats(to []byte) []byte {
+	to = r.board.Append(to)
+	p := r.shown.Load()
+	if p == nil {
+		return to
+	}
+	line := func(name string, v int64, kind string) {
+		to = fmt.Appendf(to, "%stls_%s:%d|%s\n", console.Prefix, name, v, kind)
+	}
+	c := p.Counts()
+	line("full", c.Full, "c")
+	line("resumed", c.Resumed, "c")
+	line("refused", c.Refused, "c")
+	line("broken", c.Broken, "c")
+	line("out", int64(c.Out), "g")
+	p.Days(func(name string, days float64) { line("days."+name, int64(math.Floor(days)), "g") })
+	return to
+}
+
 // show puts up what the core has counted.
 func (r *Relay) show() {
 	for i, e := range r.core.Ends() {
--- /dev/null
+++ b/internal/relay/tls_bench_test.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"bufio"
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"troutusher/decide"
+	"troutusher/internal/operator"
+)
+
+// BenchmarkCalls is calls on kept connections, 64 at a time: a second, and
+// processor time of both sides. The moment before a call's last byte is there as
+// in service.
+func BenchmarkCalls(b *testing.B) {
+	body := make([]byte, 200)
+	for name, w := range map[string]*way{"plain": {}, "tls 1.3": nil} {
+		b.Run(name, func(b *testing.B) {
+			if w == nil {
+				s := newTLSSite(b, func(_ *tlsSite, h *operator.Handshakes) { h.Share, h.BurstMS, h.Parallel = 1, 1000, 64 })
+				w = &way{site: s, cfg: &tls.Config{Certificates: []tls.Certificate{s.own.TLS()}}}
+			}
+			var addr string
+			handle := func(c net.Conn) {
+				for in := bufio.NewReader(c); readCall(in); {
+					io.WriteString(c, fine)
+				}
+			}
+			if w.site == nil {
+				addr = rawEndpoint(b, handle)
+			} else {
+				addr = tlsEndpoint(b, w.cfg, handle)
+			}
+			p := newPool(1500*time.Millisecond, 9*time.Second, 200)
+			h := w.home(p, addr)
+			call := func() {
+				newTestCall().run(h, &record{ID: "m", Body: body}, testLimit, nil, func(o outcome) {
+					if o.what != decide.Delivered {
+						b.Errorf("got %+v", o)
+					}
+				})
+			}
+			run := func(n int) {
+				var wg sync.WaitGroup
+				work := make(chan struct{}, n)
+				for range n {
+					work <- struct{}{}
+				}
+				close(work)
+				for range 64 {
+					wg.Add(1)
+					go func() {
+						defer wg.Done()
+						for range work {
+							call()
+						}
+					}()
+				}
+				wg.Wait()
+			}
+			run(256) // connections
+			cpu := func() time.Duration {
+				var u syscall.Rusage
+				syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+				return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+			}
+			began := cpu()
+			b.ResetTimer()
+			run(b.N)
+			b.StopTimer()
+			b.ReportMetric(float64(cpu()-began)/float64(b.N)/1e3, "cpu-us/call")
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
+			h.close()
+		})
+	}
+}
--- a/internal/relay/tls_relay_test.go
+++ b/internal/relay/tls_relay_test.go
@@ -54,6 +54,7 @@
 	plain.Flavor = "plain"
 	d := newFakeDiscovery(t, ep.member("e", 1), plain)
 	env := testConfig(t, d, 3)
+	env["ROUTER_CONSOLE"] = freeAddr(t)
 	operatorFile(t, s, env, "")
 	r := startChild(t, env)
 	cl := dialClient(t, env["ROUTER_LISTEN"])
@@ -82,6 +83,16 @@
 	if n := ep.count("b"); n != 0 {
 		t.Errorf("the message reached a partner that is not trusted %d times", n)
 	}
+	stats := func() string {
+		text, err := callConsole(env["ROUTER_CONSOLE"], "STATS")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	if text := stats(); !strings.Contains(text, "edge_router.tls_out:1|g\n") || !strings.Contains(text, "edge_router.tls_days.pay:0|g\n") || !strings.Contains(text, "edge_router.cluster_unhealthy:1|g\n") {
+		t.Errorf("figures while it is out:\n%s", text)
+	}
 	shown.Store(s.own)
 	waitFor(t, "what was held", func() bool { return ep.count("b") == 1 })
 	r.kill()
--- /dev/null
+++ b/internal/secure/bench_test.go
@@ -0,0 +1,152 @@
+package secure
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"troutusher/internal/devca"
+	"troutusher/internal/operator"
+)
+
+func processTime() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkHandshake is handshakes a second with both sides on the cores given
+// (-cpu 1), ours and crypto/tls's own client on the same certificates, and what
+// one takes of our side's processor time by the budget's own meter.
+func BenchmarkHandshake(b *testing.B) {
+	for _, kind := range []devca.Kind{devca.P256, devca.RSA2048, devca.Ed25519} {
+		root, err := devca.Issue(nil, "root", nil, devca.Authority)
+		if err != nil {
+			b.Fatal(err)
+		}
+		key, err := devca.NewKey(kind)
+		if err != nil {
+			b.Fatal(err)
+		}
+		own, err := devca.Issue(root, name, key)
+		if err != nil {
+			b.Fatal(err)
+		}
+		roots, _, err := root.Write(b.TempDir(), "roots", false)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, version := range []uint16{tls.VersionTLS12, tls.VersionTLS13} {
+			for _, resumed := range []bool{false, true} {
+				addr := serve(b, &tls.Config{Certificates: []tls.Certificate{own.TLS()}, MinVersion: version, MaxVersion: version, SessionTicketsDisabled: !resumed})
+				what := fmt.Sprintf("%s/%s/resumed=%v", kind, tls.VersionName(version), resumed)
+				b.Run(what+"/ours", func(b *testing.B) {
+					p, err := New(Options{Rules: []operator.TLS{{Name: "pay", Destinations: []int{1}, ServerName: name, Roots: roots}},
+						Handshakes: operator.Handshakes{Share: 1, BurstMS: 1000}, Log: slog.New(slog.DiscardHandler), Barred: func(uint64, time.Duration) {}})
+					if err != nil {
+						b.Fatal(err)
+					}
+					e := p.Peer(1, 1, "", nil)
+					var own time.Duration
+					began := processTime()
+					for range b.N {
+						turn, at, err := e.Begin(false, false)
+						for turn == nil && err == nil { // the budget is paid back
+							time.Sleep(time.Until(at))
+							turn, at, err = e.Begin(false, false)
+						}
+						raw, err := net.Dial("tcp", addr)
+						if err != nil {
+							b.Fatal(err)
+						}
+						was := threadTime()
+						runtime.LockOSThread()
+						c, err := turn.Shake(context.Background(), raw)
+						own += threadTime() - was
+						runtime.UnlockOSThread()
+						if err != nil {
+							b.Fatal(err)
+						}
+						io.ReadFull(c, make([]byte, 1))
+						if b.N > 1 && resumed != c.Resumed && p.counts.Full > 1 {
+							b.Fatalf("resumed %v", c.Resumed)
+						}
+						c.Raw().(*net.TCPConn).SetLinger(0)
+						c.Raw().Close()
+					}
+					b.ReportMetric(float64(processTime()-began)/float64(b.N)/1e3, "cpu-us/both")
+					b.ReportMetric(float64(own)/float64(b.N)/1e3, "cpu-us/ours")
+				})
+				b.Run(what+"/crypto-tls", func(b *testing.B) {
+					cfg := &tls.Config{RootCAs: root.Pool(), ServerName: name, ClientSessionCache: tls.NewLRUClientSessionCache(16)}
+					began := processTime()
+					for range b.N {
+						c, err := tls.Dial("tcp", addr, cfg)
+						if err != nil {
+							b.Fatal(err)
+						}
+						io.ReadFull(c, make([]byte, 1))
+						c.NetConn().(*net.TCPConn).SetLinger(0)
+						c.NetConn().Close()
+					}
+					b.ReportMetric(float64(processTime()-began)/float64(b.N)/1e3, "cpu-us/both")
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkMemory is what an open connection costs the process that holds both of
+// its ends, and of that what crypto/tls holds for the partner's end.
+func BenchmarkMemory(b *testing.B) {
+	s := newSite(b)
+	const n = 500
+	addr := serve(b, &tls.Config{Certificates: []tls.Certificate{s.own.TLS()}})
+	for range b.N {
+		p := s.partners(b)
+		e := p.Peer(1, 1, "", nil)
+		heap := func() float64 {
+			var m runtime.MemStats
+			runtime.GC()
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			return float64(m.HeapInuse + m.StackInuse)
+		}
+		before := heap()
+		var conns []*Conn
+		for range n {
+			for {
+				turn, at, err := e.Begin(false, false)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if turn == nil {
+					time.Sleep(time.Until(at))
+					continue
+				}
+				raw, err := net.Dial("tcp", addr)
+				if err != nil {
+					b.Fatal(err)
+				}
+				c, err := turn.Shake(context.Background(), raw)
+				if err != nil {
+					b.Fatal(err)
+				}
+				io.ReadFull(c, make([]byte, 1))
+				conns = append(conns, c)
+				break
+			}
+		}
+		b.ReportMetric((heap()-before)/n/1024, "KB/both-ends")
+		for _, c := range conns {
+			c.Raw().Close()
+		}
+	}
+}
--- a/internal/secure/secure.go
+++ b/internal/secure/secure.go
@@ -41,6 +41,7 @@
 	Log        *slog.Logger
 	Clock      func() time.Time // by which certificates are judged; nil for time.Now
 	Seed       uint64
+	State      string // the folder that outlasts the process, for sessions
 	// Barred is told that an endpoint gets nothing for a time, 0 for that it may
 	// again. It must not wait.
 	Barred func(endpoint uint64, wait time.Duration)
@@ -57,6 +58,7 @@
 	book     *tlspolicy.Book
 	budget   *tlspolicy.Budget
 	sessions *tlspolicy.Sessions[*tls.ClientSessionState]
+	key      []byte // of the sessions that outlast the process; nil for none
 	peers    map[uint64]*Peer
 	warned   map[string]time.Time
 	counts   Counts
@@ -105,6 +107,12 @@
 		p.rules = append(p.rules, r)
 		p.warnFiles(r)
 	}
+	if path := o.Handshakes.SessionKey; path != "" {
+		if p.key, err = readKeyFile(path); err != nil {
+			return nil, err
+		}
+		p.restore(o.State)
+	}
 	return p, nil
 }
 
--- a/internal/standin/partner/h1/server.go
+++ b/internal/standin/partner/h1/server.go
@@ -8,6 +8,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -48,13 +49,80 @@
 	mu    sync.Mutex // guards all below, and the model
 	world *partner.World
 	armed partner.Time // when the agenda's goroutine wakes; 0 for not before it is woken
-	conns map[partner.Conn]*net.TCPConn
-	doors [][]*door // by endpoint and relay
+	conns map[partner.Conn]*line
+	show  func(ep int) *Show // nil without TLS
+	doors [][]*door          // by endpoint and relay
 	fx    []partner.Effect
 	late  *hdrhistogram.Histogram // of the agenda, in µs
 	err   error
 }
 
+// Show is what an endpoint shows of itself over TLS, from a moment on.
+type Show struct {
+	Config  *tls.Config
+	Delay   time.Duration // what a handshake takes longer
+	Reset   bool          // connections are reset in the middle of the handshake
+	Trusted bool          // its proof is one to accept
+}
+
+// Secure has endpoints speak TLS where show gives something to show. It is called
+// before the first connection.
+func (s *Server) Secure(show func(ep int) *Show) { s.show = show }
+
+// line is one connection: what is spoken on it, and the socket below.
+type line struct {
+	net.Conn
+	tcp     *net.TCPConn
+	doubted bool // over TLS, with a proof that must not be accepted
+}
+
+// CloseWrite says that nothing more comes.
+func (l *line) CloseWrite() error {
+	if c, ok := l.Conn.(interface{ CloseWrite() error }); ok {
+		return c.CloseWrite()
+	}
+	return nil
+}
+
+const handshakeWait = 10 * time.Second
+
+// secure makes the handshake of a connection; false where none came about.
+func (s *Server) secure(id partner.Conn, ep int, l *line) bool {
+	if s.show == nil {
+		return true
+	}
+	x := s.show(ep)
+	if x == nil {
+		return true
+	}
+	if x.Reset {
+		l.tcp.SetDeadline(time.Now().Add(handshakeWait))
+		l.tcp.Read(make([]byte, 1)) // of the client's first flight
+		l.tcp.SetLinger(0)
+		return false
+	}
+	cfg := x.Config.Clone()
+	if x.Delay > 0 {
+		certs := cfg.Certificates
+		cfg.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			select {
+			case <-time.After(x.Delay):
+			case <-s.quit.Done():
+			}
+			return &certs[0], nil
+		}
+	}
+	c := tls.Server(l.tcp, cfg)
+	l.tcp.SetDeadline(time.Now().Add(handshakeWait))
+	err := c.HandshakeContext(s.quit)
+	l.tcp.SetDeadline(time.Time{})
+	s.Do(func(w *partner.World, now partner.Time) {
+		l.Conn, l.doubted = c, !x.Trusted // read under the lock
+		w.Handshake(now, id, err == nil && c.ConnectionState().DidResume)
+	})
+	return err == nil
+}
+
 // door is where one relay reaches one endpoint.
 type door struct {
 	s         *Server
@@ -72,7 +140,7 @@
 // New opens the doors of a model's endpoints, one for each relay. The caller
 // must not touch the model any more but through Do.
 func New(world *partner.World, relays int, clock func() partner.Time) (*Server, error) {
-	s := &Server{clock: clock, wake: make(chan struct{}, 1), world: world, conns: map[partner.Conn]*net.TCPConn{},
+	s := &Server{clock: clock, wake: make(chan struct{}, 1), world: world, conns: map[partner.Conn]*line{},
 		late: hdrhistogram.New(1, 60_000_000, 2)}
 	s.quit, s.stop = context.WithCancel(context.Background())
 	for ep := range world.Endpoints() {
@@ -144,7 +212,7 @@
 		}
 	}
 	for _, c := range s.conns {
-		c.Close()
+		c.tcp.Close()
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
@@ -226,10 +294,10 @@
 			c.CloseWrite()
 		}
 	case partner.DoReset:
-		c.SetLinger(0)
-		c.Close()
+		c.tcp.SetLinger(0)
+		c.tcp.Close()
 	case partner.DoClose:
-		c.Close()
+		c.tcp.Close()
 	}
 }
 
@@ -261,7 +329,7 @@
 }
 
 // endlessHead writes a head until its reader has had enough of it.
-func endlessHead(c *net.TCPConn) {
+func endlessHead(c net.Conn) {
 	line := "X-More: " + strings.Repeat("m", 1000) + "\r\n"
 	c.SetWriteDeadline(time.Now().Add(5 * time.Second))
 	io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\n")
@@ -304,11 +372,12 @@
 			continue
 		}
 		id := d.s.world.Open(d.s.clock(), d.ep, d.relay)
-		d.s.conns[id] = c
+		l := &line{Conn: c, tcp: c}
+		d.s.conns[id] = l
 		d.s.settle()
 		d.s.mu.Unlock()
 		d.s.wg.Add(1)
-		go d.s.serve(id, c)
+		go d.s.serve(id, d.ep, l)
 	}
 }
 
@@ -421,9 +490,11 @@
 }
 
 // serve reads requests from a connection until it ends.
-func (s *Server) serve(id partner.Conn, c *net.TCPConn) {
+func (s *Server) serve(id partner.Conn, ep int, c *line) {
 	defer s.wg.Done()
-	s.read(id, c)
+	if s.secure(id, ep, c) {
+		s.read(id, c)
+	}
 	s.mu.Lock()
 	delete(s.conns, id)
 	if s.quit.Err() == nil {
@@ -431,10 +502,10 @@
 		s.settle()
 	}
 	s.mu.Unlock()
-	c.Close()
+	c.tcp.Close()
 }
 
-func (s *Server) read(id partner.Conn, c *net.TCPConn) {
+func (s *Server) read(id partner.Conn, c *line) {
 	limit := &io.LimitedReader{R: c}
 	in := bufio.NewReaderSize(limit, 1024)
 	for {
@@ -469,6 +540,10 @@
 				ms = 0
 			}
 			message, key := req.Header.Get("X-Request-ID"), req.Header.Get("Idempotency-Key")
+			if c.doubted {
+				s.Do(func(w *partner.World, now partner.Time) { w.Untrusted(now, id, message) })
+				return
+			}
 			s.Do(func(w *partner.World, now partner.Time) { w.Call(now, id, message, key, ms*1000) })
 		case req.Method == http.MethodGet && req.URL.Path == probePath:
 			s.Do(func(w *partner.World, now partner.Time) { w.Probe(now, id) })
--- a/internal/standin/partner/spec.go
+++ b/internal/standin/partner/spec.go
@@ -74,6 +74,8 @@
 	KeyMemory    Time    // how long it drops repeats of a key
 	Errors       float64 // share of calls that fail at any time
 	Cancel       Cancel
+	Full         float64 // calls that a full TLS handshake weighs
+	Resumed      float64 // likewise, a resumed one
 }
 
 // slots and pace turn the capacity into calls served at once, and a factor on
--- a/internal/standin/partner/world.go
+++ b/internal/standin/partner/world.go
@@ -113,6 +113,7 @@
 	fell     bool
 	yard     *yard
 	limit    *bucket
+	shaken   float64 // of handshakes, not yet a whole call
 }
 
 // yard is what falls over as a whole: a destination, or one route of it where
@@ -242,6 +243,35 @@
 	return c.id
 }
 
+// Handshake books a TLS handshake that was asked for: work, like calls, for an
+// endpoint that is cold.
+func (w *World) Handshake(now Time, id Conn, resumed bool) {
+	w.Advance(now)
+	c := w.conns[id]
+	if c == nil {
+		return
+	}
+	e := c.ep
+	if e.shaken += e.part.Full; resumed {
+		e.shaken += e.part.Resumed - e.part.Full
+	}
+	for ; e.shaken >= 1; e.shaken-- {
+		if w.crowd(e, c.relay) {
+			e.shaken = 0
+			return
+		}
+	}
+}
+
+// Untrusted books a call that came over a connection whose proof must not have
+// been accepted.
+func (w *World) Untrusted(now Time, id Conn, msg string) {
+	w.Advance(now)
+	if c := w.conns[id]; c != nil {
+		w.say(trace.Event{Kind: trace.Stray, Relay: c.relay, Endpoint: c.ep.num, ID: msg})
+	}
+}
+
 // First books the first byte of a call and returns its number.
 func (w *World) First(now Time, id Conn) {
 	w.Advance(now)
