--- a/internal/relay/tls_relay_test.go
+++ b/internal/relay/tls_relay_test.go
@@ -83,16 +83,11 @@
 	if n := ep.count("b"); n != 0 {
 		t.Errorf("the message reached a partner that is not trusted %d times", n)
 	}
-	stats := func() string {
-		text, err := callConsole(env["ROUTER_CONSOLE"], "STATS")
-		if err != nil {
-			t.Fatal(err)
-		}
-		return text
-	}
-	if text := stats(); !strings.Contains(text, "edge_router.tls_out:1|g\n") || !strings.Contains(text, "edge_router.tls_days.pay:0|g\n") || !strings.Contains(text, "edge_router.cluster_unhealthy:1|g\n") {
-		t.Errorf("figures while it is out:\n%s", text)
-	}
+	waitFor(t, "figures of one that is out", func() bool {
+		text := mustCall(t, env["ROUTER_CONSOLE"], "STATS")
+		return strings.Contains(text, "edge_router.tls_out:1|g\n") && strings.Contains(text, "edge_router.tls_days.pay:0|g\n") &&
+			strings.Contains(text, "edge_router.cluster_unhealthy:1|g\n")
+	})
 	shown.Store(s.own)
 	waitFor(t, "what was held", func() bool { return ep.count("b") == 1 })
 	r.kill()
--- a/internal/relay/tls_test.go
+++ b/internal/relay/tls_test.go
@@ -237,6 +237,73 @@
 	}
 }
 
+// Guards a call against a connection on which part of a record lies: that may be
+// its end, and the call would be written into it.
+func TestHalfARecordWhileIdle(t *testing.T) {
+	s := newTLSSite(t, nil)
+	var conns, calls atomic.Int32
+	said := make(chan struct{}, 1)
+	addr := sealedEndpoint(t, s, func(c *tls.Conn, raw net.Conn, seal *sealer) {
+		first := conns.Add(1) == 1
+		for in := bufio.NewReader(c); readCall(in); {
+			calls.Add(1)
+			raw.Write(seal.seal(recordData, []byte(fine)))
+			if first {
+				raw.Write(seal.seal(recordAlert, []byte{1, 0})[:9])
+				said <- struct{}{}
+				io.Copy(io.Discard, raw)
+				return
+			}
+		}
+	})
+	h := s.home(testPool(t), addr)
+	deliver(t, h)
+	<-said
+	waitFor(t, "the half record", func() bool {
+		h.pool.mu.Lock()
+		defer h.pool.mu.Unlock()
+		return len(h.pool.idle) == 0 || !h.pool.idle[0].clean()
+	})
+	deliver(t, h)
+	if conns.Load() != 2 || calls.Load() != 2 {
+		t.Errorf("%d connections, %d calls, want 2 and 2", conns.Load(), calls.Load())
+	}
+}
+
+// Guards a hand-over: a call over TLS is not put to rest, since its keys are here
+// alone, and its answer is heard.
+func TestCallOverTLSIsNotParked(t *testing.T) {
+	s := newTLSSite(t, nil)
+	entered, release := make(chan struct{}), make(chan struct{})
+	h := s.home(testPool(t), tlsEndpoint(t, &tls.Config{Certificates: []tls.Certificate{s.own.TLS()}}, func(c net.Conn) {
+		if readCall(bufio.NewReader(c)) {
+			close(entered)
+			<-release
+			io.WriteString(c, fine)
+		}
+	}))
+	c := newTestCall()
+	over := make(chan outcome, 1)
+	go c.run(h, &record{ID: "m"}, testLimit, nil, func(o outcome) { over <- o })
+	<-entered
+	waitFor(t, "the call to be out", func() bool { c.mu.Lock(); defer c.mu.Unlock(); return c.conn != nil })
+	c.park()
+	if c.parkedConn() != nil {
+		t.Error("it rests")
+	}
+	close(release)
+	select {
+	case o := <-over:
+		if o.what != decide.Delivered {
+			t.Errorf("got %+v", o)
+		}
+	case <-time.After(testLimit):
+		t.Error("its answer is not heard")
+	}
+	c.unpark(false)
+	waitFor(t, "rest", func() bool { open, idle := h.pool.counts(); return open == idle })
+}
+
 // update is a change of the server's keys (RFC 8446 section 4.6.3).
 func (s *sealer) update() []byte {
 	r := s.seal(recordHandshake, []byte{24, 0, 0, 1, 0})
