--- a/cmd/troutusher-kit/tls.go
+++ b/cmd/troutusher-kit/tls.go
@@ -35,7 +35,7 @@
 // errBad is bad usage or a bad configuration.
 type errBad struct{ error }
 
-// out is where a command writes.
+// printer is where a command writes.
 type printer struct{ io.Writer }
 
 func (p printer) line(format string, a ...any) { fmt.Fprintf(p, format+"\n", a...) }
--- a/internal/secure/handshake.go
+++ b/internal/secure/handshake.go
@@ -28,9 +28,6 @@
 	until   time.Time
 }
 
-// Timeout is how long a handshake may take, connecting included.
-func (p *Partners) Timeout() time.Duration { return p.timeout }
-
 // Timeout is how long the handshake may take, connecting included.
 func (t *Turn) Timeout() time.Duration { return t.e.p.timeout }
 
--- a/internal/secure/sealed.go
+++ b/internal/secure/sealed.go
@@ -41,7 +41,7 @@
 	sealedInfo   = "troutusher sessions 1"
 )
 
-// sealed is one session in the file.
+// sealedSession is one session in the file.
 type sealedSession struct {
 	Dest   int       `json:"dest"`
 	Rule   string    `json:"rule"`
