Test of a partner that refuses our certificate late

The mutant without the moment for that was not found: on loopback the refusal came within the 3 ms before a call's last byte.

--- a/internal/relay/tls_test.go
+++ b/internal/relay/tls_test.go
@@ -455,6 +455,31 @@
 	})
 }
 
+// Guards a message against a partner that takes a while to refuse our certificate:
+// with TLS 1.3 the handshake is over here by then, and the message would be whole
+// on its way.
+func TestOursRefusedLate(t *testing.T) {
+	s := newTLSSite(t, func(s *tlsSite, _ *operator.Handshakes) {
+		cert, key, err := issued(t, s.root, "relay").Write(s.dir, "own", true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.rule.Certificate, s.rule.Key = cert, key
+	})
+	o, plaintext, conns := refusedBy(t, s, &tls.Config{Certificates: []tls.Certificate{s.own.TLS()}, MinVersion: tls.VersionTLS13,
+		ClientAuth: tls.RequireAnyClientCert, VerifyPeerCertificate: func([][]byte, [][]*x509.Certificate) error {
+			time.Sleep(5 * poolMoment) // longer than the moment before a call's last byte
+			return errors.New("not registered here")
+		}})
+	var out *secure.Out
+	if o.what != decide.NotSent || !errors.As(o.err, &out) || out.Failure.Cause != tlspolicy.RefusesUs || plaintext != 0 || conns != 1 {
+		t.Errorf("got %+v, %d bytes, %d connections", o, plaintext, conns)
+	}
+	if n := s.partners.Counts(); n.Full != 0 || n.Refused != 1 {
+		t.Errorf("%+v: it passed for proved", n)
+	}
+}
+
 // revoke puts a certificate on the site's revocation list.
 func (s *tlsSite) revoke(t testing.TB, m *devca.Made) {
 	t.Helper()
