One gate before a call's first and last byte: a told wait is obeyed by construction

A call waits for its connection for up to 1.5 s in call.send (internal/relay/endpoints.go); a drain stopped it there (Leave, call.drained), while a wait that a sibling call heard meanwhile reached decide alone, which had already let the call go.

Looking for other ways showed four: a 429 whose body is cut, late or reset lost its wait (readAnswer); an answer that lay there as its call was given up was not read; a wait of an endpoint that has moved since was booked where it is now; a wait of a destination all of whose endpoints had left was lost in a hand-over.

Change. internal/gate has the last word, for each destination or route: who reads a wait tells it there first; a call asks before its first byte (drains count from there) and before its last (waits do). poolConn.write is the one place that lets bytes of a request out, for calls and probes. What waits for a connection is stopped at once and never ran; the effect Leave is gone. The core books waits by destination, or by route where routes are apart, and carries them over; decide heeds a wait told by an answer that was spoilt later.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -444,7 +444,7 @@
 		c.noted = true
 		p.observe(c, e)
 	}
-	if e.Outcome == Full && e.Wait > 0 {
+	if e.Wait > 0 && (e.Outcome == Full || e.Outcome == Errored) { // the second: its answer was spoilt later
 		c.ep.lane.waitUntil = max(c.ep.lane.waitUntil, p.now+e.Wait)
 		for _, x := range c.ep.lane.eps { // what is saved up while it is closed would go at once
 			x.budget.tokens, x.budget.at = 0, c.ep.lane.waitUntil
--- a/internal/core/carry.go
+++ b/internal/core/carry.go
@@ -17,6 +17,7 @@
 type Carried struct {
 	Members []CarriedMember `json:"members"`
 	Named   []int           `json:"named"`
+	Waits   []CarriedWait   `json:"waits,omitempty"`
 	Calls   []CarriedCall   `json:"calls"`
 	Worth   []CarriedWorth  `json:"worth"`
 	Policy  *decide.Memory  `json:"policy"`
@@ -30,6 +31,12 @@
 	WaitUntil decide.Time     `json:"wait_until,omitempty"`
 }
 
+// CarriedWait is a wait that a destination has told.
+type CarriedWait struct {
+	Dest  int         `json:"dest"`
+	Until decide.Time `json:"until"`
+}
+
 // CarriedCall is a call that is out, whole, and not answered.
 type CarriedCall struct {
 	Message  string      `json:"message"`
@@ -90,6 +97,12 @@
 		c.Named = append(c.Named, dest)
 	}
 	slices.Sort(c.Named)
+	for dest, until := range r.waits {
+		if until > r.now {
+			c.Waits = append(c.Waits, CarriedWait{dest, until})
+		}
+	}
+	slices.SortFunc(c.Waits, func(a, b CarriedWait) int { return a.Dest - b.Dest })
 	held := make([]*message, 0, len(r.msgs))
 	for _, m := range r.msgs {
 		if !m.over && m.logged {
@@ -109,6 +122,9 @@
 // adopt takes over what another core knew, and returns the calls that it had
 // out and the worths that it had found, by message.
 func (r *Core) adopt(c *Carried, shift decide.Time) (map[string]*CarriedCall, map[string]float64) {
+	for _, w := range c.Waits {
+		r.waits[w.Dest] = max(r.waits[w.Dest], w.Until+shift)
+	}
 	l := &List{Complete: true}
 	for i := range c.Members {
 		l.Members = append(l.Members, c.Members[i].Member)
@@ -124,6 +140,7 @@
 			number[m.Number] = ep.num
 			if m.WaitUntil > 0 {
 				ep.waitUntil = max(ep.waitUntil, m.WaitUntil+shift)
+				r.do(Effect{Kind: Hold, Endpoint: ep.num, Until: r.heldUntil(ep)})
 			}
 		}
 	}
@@ -155,7 +172,7 @@
 		return
 	}
 	sent := k.Sent + shift
-	c := &Call{Rec: m.rec, Endpoint: ep.num, Limit: max(k.Until+shift-r.now, 1), m: m, ep: ep, attempt: m.tries - 1, sent: sent}
+	c := &Call{Rec: m.rec, Endpoint: ep.num, Limit: max(k.Until+shift-r.now, 1), m: m, ep: ep, apart: r.apart(ep.flavor), attempt: m.tries - 1, sent: sent}
 	m.call = c
 	ep.calls = append(ep.calls, c)
 	r.calls++
--- a/internal/core/carry_test.go
+++ b/internal/core/carry_test.go
@@ -113,6 +113,15 @@
 		}
 	}
 	w.queue = slices.DeleteFunc(w.queue, func(e Event) bool { return e.Call == nil })
+	if w.driver != nil { // those that are out whole go on
+		for i := range fx {
+			if k := fx[i].Call; fx[i].Kind == GoOn {
+				w.open[k] = true
+				w.driver.calls = append(w.driver.calls, &wayOut{call: k, step: 3})
+				goesOn++
+			}
+		}
+	}
 	for i := range fx { // notices that were logged go out once more, harmlessly
 		if fx[i].Kind == Notify {
 			w.trace.WriteString("again " + fx[i].Notice.Message + "\n")
@@ -120,6 +129,11 @@
 	}
 	b.written(fx, nil)
 	w.carry(fx)
+	if w.driver != nil {
+		for _, c := range w.driver.calls {
+			c.home = w.driver.homes[c.call.Endpoint]
+		}
+	}
 	return goesOn
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -64,6 +64,7 @@
 
 	m       *message
 	ep      *endpoint
+	apart   bool // its endpoint is a route of its own
 	attempt int
 	sent    decide.Time
 }
@@ -129,10 +130,10 @@
 	LogThenNotice                       // Record, Notice: which goes out even if it could not be logged
 	Notify                              // Notice, which is logged already
 	Cancel                              // Call
-	Leave                               // Call: its endpoint leaves; not begun after this
 	Probe                               // Endpoint
-	Open                                // Endpoint, Address, Dest, Flavor: calls may come there
-	Shut                                // Endpoint: nothing is kept there, nothing new begun
+	Open                                // Endpoint, Address, Dest, Flavor, Apart: calls may come there
+	Shut                                // Endpoint: nothing is kept there, nothing new begun, though it is logged already
+	Hold                                // Endpoint, Until: nothing goes there before, nor to what shares its wait
 	CloseIdle                           // Endpoint: its idle connections are of no more use
 	Forget                              // Endpoint
 	Tell                                // Level, Text, Args: for the log of the process
@@ -158,6 +159,8 @@
 	Address  string
 	Dest     int
 	Flavor   string
+	Apart    bool // a wait of the endpoint binds it alone
+	Until    decide.Time
 	Level    slog.Level
 	Text     string
 	Args     []any
@@ -191,7 +194,7 @@
 	listed    bool   // the list holds it, draining maybe
 	gone      bool   // drained or removed: nothing new goes there
 	goneAt    decide.Time
-	waitUntil decide.Time // told to wait
+	waitUntil decide.Time // told to wait, where it is a route of its own
 	answerAt  decide.Time // when it last answered at all
 	calls     []*Call
 }
@@ -225,7 +228,8 @@
 	endpoints []*endpoint           // in the order in which they came
 	byID      map[string]*endpoint
 	byNum     map[decide.Endpoint]*endpoint
-	named     map[int]bool // destinations that a list has named
+	named     map[int]bool        // destinations that a list has named
+	waits     map[int]decide.Time // ends of the waits that destinations have told
 	events    []decide.Event
 	actions   []decide.Action
 	later     []Event // for the next step
@@ -246,7 +250,7 @@
 		return nil, err
 	}
 	return &Core{set: s, policy: policy, msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*Request]*message{},
-		byID: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, named: map[int]bool{},
+		byID: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, named: map[int]bool{}, waits: map[int]decide.Time{},
 		ends: make([]Ends, len(s.Policy.Classes))}, nil
 }
 
@@ -608,7 +612,10 @@
 	}
 	if x.Phase == Up && (!ep.open || ep.gone) {
 		ep.open = true
-		r.do(Effect{Kind: Open, Endpoint: ep.num, Address: ep.hostPort, Dest: ep.cell, Flavor: x.Flavor})
+		r.do(Effect{Kind: Open, Endpoint: ep.num, Address: ep.hostPort, Dest: ep.cell, Flavor: x.Flavor, Apart: r.apart(x.Flavor)})
+	}
+	if until := r.heldUntil(ep); until > r.now { // also for one that joins a destination which has told it
+		r.do(Effect{Kind: Hold, Endpoint: ep.num, Until: until})
 	}
 	if x.Phase != Removed {
 		r.named[x.Cell] = true
@@ -640,9 +647,6 @@
 	if !ep.gone {
 		ep.gone, ep.goneAt = true, r.now
 	}
-	for _, c := range ep.calls {
-		r.do(Effect{Kind: Leave, Call: c})
-	}
 	if ep.open {
 		r.do(Effect{Kind: Shut, Endpoint: ep.num})
 	}
@@ -787,13 +791,42 @@
 		r.notSent(m, a.Endpoint)
 		return
 	}
-	c := &Call{Rec: m.rec, Endpoint: ep.num, Limit: limit, Cold: a.Cold, Opens: a.Opens, m: m, ep: ep, attempt: m.tries - 1, sent: r.now}
+	c := &Call{Rec: m.rec, Endpoint: ep.num, Limit: limit, Cold: a.Cold, Opens: a.Opens, m: m, ep: ep, apart: r.apart(ep.flavor), attempt: m.tries - 1, sent: r.now}
 	m.call = c
 	ep.calls = append(ep.calls, c)
 	r.calls++
 	r.do(Effect{Kind: LogThenSend, Record: &Record{Kind: Attempt, ID: m.rec.ID, At: r.wall(r.now), Zone: ep.zone}, Call: c})
 }
 
+// apart reports whether the endpoints of a flavour are routes of their own.
+func (r *Core) apart(flavor string) bool {
+	i := place(r.set.Kinds, flavor)
+	return i >= 0 && i < len(r.set.Policy.Kinds) && r.set.Policy.Kinds[i].Apart
+}
+
+// wait books what a call was told: nothing may go to its endpoint before a
+// moment, nor to the others of its destination where they are no routes apart.
+// That holds also if the endpoint has moved since, or leaves and comes back, and
+// never shortens.
+func (r *Core) wait(c *Call, until decide.Time) {
+	if c.apart {
+		c.ep.waitUntil = max(c.ep.waitUntil, until)
+	} else {
+		r.waits[c.Rec.Dest] = max(r.waits[c.Rec.Dest], until)
+	}
+	if c.ep.cell == c.Rec.Dest && r.apart(c.ep.flavor) == c.apart {
+		r.do(Effect{Kind: Hold, Endpoint: c.ep.num, Until: until})
+	}
+}
+
+// heldUntil is the end of the wait that binds an endpoint.
+func (r *Core) heldUntil(ep *endpoint) decide.Time {
+	if r.apart(ep.flavor) {
+		return ep.waitUntil
+	}
+	return r.waits[ep.cell]
+}
+
 // finished books the end of an attempt.
 func (r *Core) finished(c *Call, o *Result, logged bool) {
 	m := c.m
@@ -801,8 +834,8 @@
 		Slots: o.Slots, Opened: o.Opened, Settled: o.Settled || m.over, Took: o.Took, Load: o.Load}
 	if c.ep != nil {
 		e.Endpoint = c.ep.num
-		if o.Wait > 0 { // it binds under this id also if it leaves and comes back
-			c.ep.waitUntil = max(c.ep.waitUntil, r.now+o.Wait)
+		if o.Wait > 0 && o.What != decide.NotSent { // that one is of our own making
+			r.wait(c, r.now+o.Wait)
 		}
 		c.ep.calls = slices.DeleteFunc(c.ep.calls, func(x *Call) bool { return x == c })
 	}
--- /dev/null
+++ b/internal/core/waits_test.go
@@ -0,0 +1,259 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"troutusher/decide"
+	"troutusher/internal/gate"
+)
+
+// driver makes a world's calls in pieces, as the sockets do: a connection that
+// is waited for, a first byte, a last one, an answer that is read and heard at
+// moments of their own. It judges each byte by what was told, and keeps its
+// own account of that.
+type driver struct {
+	w      *world
+	scopes map[string]*gate.Scope
+	homes  map[decide.Endpoint]*place1
+	calls  []*wayOut
+	told   map[string]decide.Time // the end of the longest wait, by scope
+	asked  map[string]bool        // scopes that told one
+	sent   int
+	kept   int // calls that the gate kept back
+}
+
+type place1 struct {
+	scope string
+	gate  *gate.Gate
+	dest  int
+	gone  bool
+}
+
+type wayOut struct {
+	call *Call
+	home *place1
+	pass *gate.Pass
+	step int
+}
+
+func newDriver(w *world) *driver {
+	return &driver{w: w, scopes: map[string]*gate.Scope{}, homes: map[decide.Endpoint]*place1{}, told: map[string]decide.Time{}, asked: map[string]bool{}}
+}
+
+func (d *driver) open(e *Effect) {
+	name := fmt.Sprintf("dest %d", e.Dest)
+	if e.Apart {
+		name = "route " + d.w.idOf(e.Endpoint)
+	}
+	if d.scopes[name] == nil {
+		d.scopes[name] = &gate.Scope{}
+	}
+	d.homes[e.Endpoint] = &place1{scope: name, gate: d.scopes[name].Gate(), dest: e.Dest}
+}
+
+func (w *world) idOf(n decide.Endpoint) string { return w.core.byNum[n].id }
+
+func (d *driver) shut(n decide.Endpoint) {
+	if h := d.homes[n]; h != nil {
+		h.gone = true
+		h.gate.Close()
+	}
+}
+
+// tell is what reads an answer: the word of a wait is told to the gate at once.
+func (d *driver) tell(h *place1, wait decide.Time) {
+	until := d.w.now + wait
+	h.gate.Tell(d.w.now, until)
+	d.told[h.scope] = max(d.told[h.scope], until)
+	d.asked[h.scope] = true
+}
+
+// end tells the core of a call's end, now or in any later turn.
+func (d *driver) end(c *wayOut, o *Result) {
+	if c.pass != nil {
+		c.pass.Leave()
+		c.pass = nil
+	}
+	d.calls = slices.DeleteFunc(d.calls, func(x *wayOut) bool { return x == c })
+	d.w.finish(c.call, Event{Kind: Finished, Call: c.call, Result: o})
+}
+
+func (d *driver) refused(c *wayOut, err error) {
+	d.kept++
+	d.end(c, &Result{What: decide.NotSent, Err: err})
+}
+
+// turn moves the calls on, each by a step or not.
+func (d *driver) turn() {
+	w := d.w
+	for _, c := range slices.Clone(d.calls) {
+		if w.rng.IntN(3) == 0 {
+			continue
+		}
+		var err error
+		switch c.step {
+		case 0:
+			if c.pass, err = c.home.gate.Enter(w.now, func(error) {}); err != nil {
+				d.refused(c, err)
+				continue
+			}
+		case 1:
+			if w.rng.IntN(2) == 0 {
+				continue // the connection takes its time
+			}
+			if w.rng.IntN(8) == 0 {
+				d.end(c, &Result{What: decide.NoConnect})
+				continue
+			}
+			if err = c.pass.First(w.now); err != nil {
+				d.refused(c, err)
+				continue
+			}
+			if c.home.gone {
+				w.failf("%s begins at an endpoint that has left", c.call.Rec.ID)
+			}
+		case 2:
+			if err = c.pass.Last(w.now); err != nil {
+				d.refused(c, err)
+				continue
+			}
+			if until := d.told[c.home.scope]; w.now < until {
+				w.failf("%s goes out %d ms before the end of a wait of %s", c.call.Rec.ID, (until-w.now)/1000, c.home.scope)
+			}
+			if c.home.dest != c.call.Rec.Dest {
+				w.failf("%s for %d goes to %d", c.call.Rec.ID, c.call.Rec.Dest, c.home.dest)
+			}
+			c.pass.Leave()
+			c.pass = nil
+			d.sent++
+		case 3:
+			o := &Result{What: decide.Delivered, Status: 200, Settled: true, Took: w.now - c.call.Sent()}
+			switch w.rng.IntN(8) {
+			case 0, 1:
+				o = &Result{What: decide.Full, Status: 429, Wait: decide.Time(w.rng.IntN(900e3))}
+			case 2: // its head came, and no more
+				o = &Result{What: decide.Errored, Status: 429, Spoilt: true, Wait: decide.Time(w.rng.IntN(900e3))}
+			case 3: // nobody hears what was told
+				o = &Result{What: decide.TimedOut, Took: w.now - c.call.Sent()}
+			case 4:
+				o = &Result{What: decide.Full, Status: 503}
+			case 5:
+				o = &Result{What: decide.Reset}
+			}
+			if c.home == nil { // it left before the hand-over
+				o = &Result{What: decide.Reset}
+			}
+			if o.Wait > 0 {
+				d.tell(c.home, o.Wait)
+			}
+			d.end(c, o)
+			continue
+		}
+		c.step++
+	}
+}
+
+// No order of sends, answers (read early, heard late, cut, lost), lists and
+// hand-overs has a byte go out inside a wait that was told, to an endpoint that
+// has left, or to another destination's.
+func TestNothingGoesOutInsideAWait(t *testing.T) {
+	sent, kept, shared, apart, goesOn := 0, 0, 0, 0, 0
+	for seed := range uint64(120) {
+		w := newWorld(t, seed)
+		w.flavors = []string{"k", "r"}
+		w.driver = newDriver(w)
+		b := &book{live: map[string]*Record{}}
+		w.log = b
+		for turn := range 4 {
+			w.playFrom(turn*120, 120)
+			w.core.Cede() // what is under way comes to rest first; what is out whole goes on
+			for _, c := range slices.Clone(w.driver.calls) {
+				if c.step < 3 {
+					w.driver.end(c, &Result{What: decide.NotSent})
+				}
+			}
+			w.rest()
+			shift := decide.Time(w.rng.Int64N(2e9)) - 1e9
+			d := newDriver(w)
+			for name, until := range w.driver.told {
+				d.told[name] = until + shift
+			}
+			d.sent, d.kept = w.driver.sent, w.driver.kept
+			for name := range w.driver.asked {
+				d.asked[name] = true
+			}
+			w.driver = d
+			goesOn += w.handOver(b, shift)
+		}
+		sent += w.driver.sent
+		kept += w.driver.kept
+		for name := range w.driver.asked {
+			if name[0] == 'r' {
+				apart++
+			} else {
+				shared++
+			}
+		}
+	}
+	if sent < 3000 || kept < 300 || shared < 100 || apart < 100 || goesOn < 30 {
+		t.Errorf("too little was tried: %d sent, %d kept back, %d destinations and %d routes told a wait, %d out at a hand-over", sent, kept, shared, apart, goesOn)
+	}
+}
+
+// rest tells the core of all that has ended.
+func (w *world) rest() {
+	events := w.queue
+	w.queue = nil
+	for _, e := range events {
+		if e.Call != nil {
+			w.out[e.Call.Rec.ID]--
+			delete(w.open, e.Call)
+		}
+	}
+	w.step(w.log, events)
+}
+
+// A wait never shortens: not by a shorter one that is heard later, nor by way of
+// a sibling; and one that another process was told binds its siblings too.
+func TestTheLongestWaitHolds(t *testing.T) {
+	r := testCore(t)
+	r.Step(3600e6, []Event{{Kind: News, News: decide.ListFull, List: &List{Members: []Member{
+		{ID: "a", HostPort: "127.0.0.1:1", Cell: 1, Phase: Up, Flavor: "k"}, {ID: "b", HostPort: "127.0.0.1:2", Cell: 1, Phase: Up, Flavor: "k"},
+		{ID: "c", HostPort: "127.0.0.1:3", Cell: 2, Phase: Up, Flavor: "r"}, {ID: "d", HostPort: "127.0.0.1:4", Cell: 2, Phase: Up, Flavor: "r"}}}}}, nil)
+	now := r.now
+	for _, x := range []struct {
+		id    string
+		until decide.Time
+	}{{"a", 5e6}, {"b", 1e6}, {"c", 4e6}, {"c", 2e6}} {
+		ep := r.byID[x.id]
+		r.wait(&Call{Rec: &Record{Dest: ep.cell}, ep: ep, apart: r.apart(ep.flavor)}, now+x.until)
+	}
+	r.done()
+	carried := r.Carry(now)
+	for _, c := range []*Core{r, func() *Core {
+		next := testCore(t)
+		next.Restore(now, nil, carried, 0, nil)
+		return next
+	}()} {
+		for id, want := range map[string]decide.Time{"a": 5e6, "b": 5e6, "c": 4e6, "d": 0} {
+			if got := max(c.heldUntil(c.byID[id])-now, 0); got != want {
+				t.Errorf("%s waits for %d ms, want %d", id, got/1000, want/1000)
+			}
+		}
+		// One that joins a destination which has told a wait is bound as well, and
+		// one that joins a route's is not.
+		fx := c.Step(now, []Event{{Kind: News, News: decide.ListChange, List: &List{Members: []Member{
+			{ID: "e", HostPort: "127.0.0.1:5", Cell: 1, Phase: Up, Flavor: "k"}, {ID: "f", HostPort: "127.0.0.1:6", Cell: 2, Phase: Up, Flavor: "r"}}}}}, nil)
+		held := map[decide.Endpoint]decide.Time{}
+		for i := range fx {
+			if fx[i].Kind == Hold {
+				held[fx[i].Endpoint] = fx[i].Until - now
+			}
+		}
+		if e, f := c.byID["e"], c.byID["f"]; held[e.num] != 5e6 || held[f.num] != 0 || c.heldUntil(f) != 0 {
+			t.Errorf("who joins is held for %v", held)
+		}
+	}
+}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -11,12 +11,12 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"troutusher/decide"
 	"troutusher/internal/core"
+	"troutusher/internal/gate"
 	"troutusher/internal/secure"
 )
 
@@ -25,6 +25,7 @@
 	probePath   = "/health/live"
 	answerMost  = 192 << 10              // bytes of an answer that are read, with what comes ahead of it
 	answerWait  = 300 * time.Millisecond // from an answer's first byte to its last: it is written at once
+	lateWait    = 10 * time.Millisecond  // for what has come of an answer by the time that it is given up
 	connsMost   = 4                      // connections on which one call is begun
 	hintsMost   = 8                      // 1xx answers ahead of the last
 	probeWait   = 2 * time.Second        // a probe that takes longer has failed
@@ -33,23 +34,11 @@
 	loadMost    = 1e6 // no figure of a load report is higher
 )
 
-// Stages of a call.
-const (
-	callWaiting int32 = iota // for a connection: stopped now, it has never run
-	callSending              // bytes may be under way
-	callStopped              // stopped before its first byte
-)
-
-var (
-	errCancelled = errors.New("cancelled")
-	errDrained   = errors.New("endpoint drained")
-)
+var errCancelled = errors.New("cancelled")
 
 // call is one call out.
 type call struct {
-	stage   atomic.Int32
-	leaving atomic.Bool // its endpoint drains
-	written func()      // told once its last byte is written; may be nil
+	written func() // told once its last byte is written; may be nil
 	ctx     context.Context
 	stop    context.CancelCauseFunc
 	before  time.Duration // it was out for so long in another process
@@ -81,14 +70,6 @@
 		Status: o.status, Spoilt: o.spoilt, Err: o.err}
 }
 
-// drained stops the call if its first byte is not written yet.
-func (c *call) drained() {
-	c.leaving.Store(true)
-	if c.stage.CompareAndSwap(callWaiting, callStopped) {
-		c.stop(errDrained)
-	}
-}
-
 // newCallRequest makes the request of a call. Its GetBody stays nil.
 func newCallRequest(hostPort, id, key string, body []byte, timeout time.Duration) (*http.Request, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+hostPort+callPath, nil)
@@ -132,9 +113,16 @@
 		if errors.Is(context.Cause(c.ctx), errCeded) {
 			what = decide.NotSent
 		}
+		wait := decide.Time(0) // after which it may be tried again
 		var turn errNoTurn
-		errors.As(err, &turn)
-		tell(outcome{what: what, err: err, wait: turn.wait.Microseconds(), opened: c.want.opened, took: time.Since(began).Microseconds()})
+		var held gate.ErrWait
+		switch {
+		case errors.As(err, &turn):
+			wait = turn.wait.Microseconds()
+		case errors.As(err, &held):
+			wait = held.Left
+		}
+		tell(outcome{what: what, err: err, wait: wait, opened: c.want.opened, took: time.Since(began).Microseconds()})
 		return
 	}
 	c.sent(conn)
@@ -146,7 +134,8 @@
 
 // answer waits for the answer to a call that is out.
 func (c *call) answer(ctx context.Context, conn *poolConn, req *http.Request, began time.Time, loads []string, tell func(outcome)) {
-	unwatch := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
+	// What lies there already has come, and is heard: it may be a wait.
+	unwatch := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now().Add(lateWait)) })
 	if !c.begun(ctx, conn) {
 		unwatch()
 		conn.drop()
@@ -179,42 +168,43 @@
 // byte was not written. A connection that turns out to be of no use before
 // then is replaced: nothing of the call counts so far.
 func (c *call) send(ctx context.Context, h *home, text []byte) (*poolConn, decide.Outcome, error) {
+	pass, err := h.gate.Enter(h.pool.now(), c.stop)
+	if err != nil {
+		return nil, decide.NotSent, err
+	}
+	defer pass.Leave()
 	for left := connsMost - 1; ; left-- {
 		conn, err := h.get(ctx, &c.want)
-		if neverAsked(err) || c.stage.Load() == callStopped {
-			if conn != nil {
-				conn.put()
-			}
-			return nil, decide.NotSent, cmp.Or(err, errDrained)
+		if why := pass.Stopped(); err != nil && (why != nil || neverAsked(err)) {
+			return nil, decide.NotSent, cmp.Or(why, err)
 		}
 		if err != nil {
 			return nil, decide.NoConnect, err
 		}
 		conn.left = answerMost
-		if !c.stage.CompareAndSwap(callWaiting, callSending) { // a drain came first
-			conn.put()
-			return nil, decide.NotSent, errDrained
-		}
 		stop := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
-		err = conn.write(ctx, text)
+		clean, err := conn.write(ctx, pass, text)
+		mine := stop() // else its deadline may be set at any moment
 		if err == nil {
-			stop() // the caller watches on
-			return conn, 0, nil
+			return conn, 0, nil // the caller watches on
+		}
+		if clean && mine {
+			conn.put()
+		} else {
+			conn.drop()
+		}
+		if gate.Refused(err) {
+			return nil, decide.NotSent, err
 		}
-		stop()
-		conn.drop()
 		if conn.tls != nil {
 			if out, refused := conn.tls.Peer().Refused(err); refused { // it has closed on who we are: nothing ran
 				return nil, decide.NotSent, out
 			}
 		}
-		if left == 0 || ctx.Err() != nil || c.leaving.Load() {
+		if left == 0 || ctx.Err() != nil {
 			return nil, decide.NoConnect, err
 		}
-		c.stage.Store(callWaiting)
-		if c.leaving.Load() { // said between the two: drained saw a call under way
-			return nil, decide.NotSent, errDrained
-		}
+		pass.Again()
 	}
 }
 
@@ -223,7 +213,7 @@
 func neverAsked(err error) bool {
 	var out *secure.Out
 	var turn errNoTurn
-	return err == errNoRoom || err == errDrained || err == errUnpaid || errors.As(err, &out) || errors.As(err, &turn)
+	return err == errNoRoom || gate.Refused(err) || err == errUnpaid || errors.As(err, &out) || errors.As(err, &turn)
 }
 
 // unanswered maps a call that was written and has no answer.
@@ -280,7 +270,16 @@
 		tell(outcome{what: decide.Delivered, settled: true, status: status})
 	}
 	resp, err := http.ReadResponse(conn.in, req)
+	told := decide.Time(0)
 	if err == nil {
+		if status == http.StatusTooManyRequests {
+			// It binds from here on, whatever becomes of the rest of the answer.
+			if wait, bad := retryAfter(resp.Header.Get("Retry-After")); bad == nil && wait > 0 {
+				told = wait
+				now := conn.home.pool.now()
+				conn.home.gate.Tell(now, now+wait)
+			}
+		}
 		if resp.ContentLength > bodyMost {
 			err = errTooBig
 		} else {
@@ -297,7 +296,7 @@
 		o.err = o.read(resp.Header)
 	}
 	if o.err != nil {
-		o.what, o.spoilt, o.wait, o.slots, o.settled = decide.Errored, true, 0, false, false
+		o.what, o.spoilt, o.wait, o.slots, o.settled = decide.Errored, true, told, false, false
 	}
 	tell(o)
 	return o.err == nil && !resp.Close
@@ -381,18 +380,25 @@
 		if err := req.Write(&text); err != nil {
 			return err
 		}
-		conn, err := h.get(ctx, &want{cold: true, paid: true})
-		if neverAsked(err) {
+		pass, err := h.gate.Enter(h.pool.now(), func(error) { cancel() })
+		if err != nil {
 			return err
 		}
+		defer pass.Leave()
+		conn, err := h.get(ctx, &want{cold: true, paid: true})
+		if why := pass.Stopped(); err != nil && (why != nil || neverAsked(err)) {
+			return cmp.Or(why, err)
+		}
 		if o.what = decide.NoConnect; err != nil {
 			return err
 		}
 		conn.left = answerMost
 		unwatch := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
 		keep := false
-		if err = conn.write(ctx, text.Bytes()); err == nil {
+		if _, err = conn.write(ctx, pass, text.Bytes()); err == nil {
 			keep = readAnswer(conn, req, nil, func(x outcome) { o.what, o.status, err = x.what, x.status, x.err })
+		} else if gate.Refused(err) {
+			o.what = decide.NotSent
 		}
 		if !unwatch() || !keep {
 			conn.drop()
@@ -400,7 +406,7 @@
 			conn.put()
 		}
 		return err
-	}(); ctx.Err() != nil && o.status == 0 {
+	}(); ctx.Err() != nil && o.status == 0 && !gate.Refused(o.err) {
 		o.what = decide.TimedOut
 	}
 	o.took = time.Since(began).Microseconds()
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -646,7 +646,6 @@
 func (r *Relay) goOn(out *core.Call) {
 	ctx, stop := context.WithCancelCause(r.ctx)
 	c := &call{ctx: ctx, stop: stop, before: time.Duration(r.now()-out.Sent()) * time.Microsecond}
-	c.stage.Store(callSending)
 	out.Handle = c
 	tell := func(o outcome) { r.tell(core.Event{Kind: core.Finished, Call: out, Result: o.result()}) }
 	fd, ok := r.passed[out.Rec.ID]
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -102,6 +102,7 @@
 	// A request written to a connection that the endpoint is closing ends as a
 	// reset: ours close first.
 	r.pool = newPool(time.Duration(cfg.Policy.ConnectTimeout)*time.Microsecond, keep-keep/idleMargin, conns)
+	r.pool.now = r.now
 	go r.pool.run(ctx)
 	r.notices = newNotices(cfg.Discovery, log, func(id string) {
 		r.wal.submit(&record{Kind: core.End, ID: id}, nil)
@@ -364,9 +365,9 @@
 		if c, ok := e.Call.Handle.(*call); ok {
 			c.stop(errCancelled)
 		}
-	case core.Leave:
-		if c, ok := e.Call.Handle.(*call); ok {
-			c.drained()
+	case core.Hold:
+		if h := r.homes[e.Endpoint]; h != nil {
+			h.gate.Tell(r.now(), e.Until)
 		}
 	case core.Probe:
 		h, ep := r.homes[e.Endpoint], e.Endpoint
@@ -375,13 +376,20 @@
 			r.tell(core.Event{Kind: core.Probed, Endpoint: ep, Result: o.result()})
 		}()
 	case core.Open:
-		r.homes[e.Endpoint] = r.pool.secureHome(e.Address, r.partners, uint64(e.Endpoint), e.Dest, e.Flavor)
+		at := scope{dest: e.Dest}
+		if e.Apart {
+			at = scope{route: e.Endpoint}
+		}
+		h := r.pool.secureHome(e.Address, r.partners, uint64(e.Endpoint), e.Dest, e.Flavor)
+		h.gate = r.pool.scope(at).Gate()
+		r.homes[e.Endpoint] = h
 	case core.Shut:
 		r.homes[e.Endpoint].close()
 	case core.CloseIdle:
 		r.homes[e.Endpoint].closeIdle()
 	case core.Forget:
 		delete(r.homes, e.Endpoint)
+		r.pool.forget(e.Endpoint)
 	case core.Tell:
 		r.log.Log(r.ctx, e.Level, e.Text, e.Args...)
 	case core.Again:
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"troutusher/decide"
+	"troutusher/internal/gate"
 	"troutusher/internal/secure"
 )
 
@@ -39,14 +41,41 @@
 	most    int
 	moment  time.Duration // before a call's last byte
 
+	now func() decide.Time // the relay's clock
+
 	mu   sync.Mutex
 	open int         // dialled, in use or idle
 	idle []*poolConn // the one idle for longest first
+
+	scopes map[scope]*gate.Scope // the loop's
 }
 
+// scope is what one wait binds: a destination, or an endpoint where they are
+// routes apart.
+type scope struct {
+	dest  int
+	route decide.Endpoint // 0 for a destination
+}
+
+// scope gives the gates' of a destination or a route. It outlasts the homes
+// there, since a wait does.
+func (p *pool) scope(at scope) *gate.Scope {
+	s := p.scopes[at]
+	if s == nil {
+		s = &gate.Scope{}
+		p.scopes[at] = s
+	}
+	return s
+}
+
+// forget lets go of a route for good. A destination's scope stays, like all else
+// that is known of one.
+func (p *pool) forget(route decide.Endpoint) { delete(p.scopes, scope{route: route}) }
+
 // home is one endpoint's part of the pool.
 type home struct {
 	pool   *pool
+	gate   *gate.Gate
 	addr   string
 	dial   func(ctx context.Context, addr string) (net.Conn, error)
 	peer   *secure.Peer // nil where it is reached without TLS
@@ -80,12 +109,15 @@
 }
 
 func newPool(connect, keep time.Duration, most int) *pool {
-	return &pool{connect: connect, keep: keep, most: most, moment: poolMoment}
+	began := time.Now()
+	return &pool{connect: connect, keep: keep, most: most, moment: poolMoment, scopes: map[scope]*gate.Scope{},
+		now: func() decide.Time { return time.Since(began).Microseconds() }}
 }
 
+// home makes one with a gate of its own.
 func (p *pool) home(addr string) *home {
 	d := &net.Dialer{Timeout: p.connect, KeepAlive: -1}
-	return &home{pool: p, addr: addr, dial: func(ctx context.Context, addr string) (net.Conn, error) {
+	return &home{pool: p, gate: new(gate.Scope).Gate(), addr: addr, dial: func(ctx context.Context, addr string) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", addr)
 	}}
 }
@@ -239,8 +271,10 @@
 // closeIdle gives up the idle connections.
 func (h *home) closeIdle() { h.pool.sweep(func(c *poolConn) bool { return c.home == h }) }
 
-// close gives them up for good: what calls still hold goes as they end.
+// close gives them up for good: what calls still hold goes as they end, and
+// none begins.
 func (h *home) close() {
+	h.gate.Close()
 	h.pool.mu.Lock()
 	h.closed = true
 	h.pool.mu.Unlock()
@@ -291,32 +325,37 @@
 }
 
 // write sends a whole request but for its last byte, makes sure that nothing
-// has come yet, and then sends that. An error means that the last byte was not written: the call never ran.
+// has come yet, and then sends that. An error means that the last byte was not
+// written: the call never ran; with clean, no byte was. It is the one place where
+// bytes of a request go out, and the gate is asked before the first and the last.
 //
 // There is a moment before that byte: a connection that its endpoint has
 // dropped in silence, or drops now, is reset as soon as anything reaches it,
 // and shows so while it is still certain that the call has not run.
-func (c *poolConn) write(ctx context.Context, text []byte) error {
+func (c *poolConn) write(ctx context.Context, pass *gate.Pass, text []byte) (clean bool, err error) {
 	last := len(text) - 1
+	if err := pass.First(c.home.pool.now()); err != nil {
+		return true, err
+	}
 	if _, err := c.Conn.Write(text[:last]); err != nil {
-		return err
+		return false, err
 	}
 	c.SetReadDeadline(time.Now().Add(c.home.pool.moment))
 	if _, err := c.in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
-		return cmp.Or(err, errUnasked)
+		return false, cmp.Or(err, errUnasked)
 	}
 	c.SetReadDeadline(time.Time{})
 	if err := ctx.Err(); err != nil { // its deadline may be the one just cleared
-		return err
+		return false, err
 	}
 	if !c.clean() {
-		return errUnasked
+		return false, errUnasked
 	}
-	if err := ctx.Err(); err != nil { // likewise
-		return err
+	if err := cmp.Or(ctx.Err(), pass.Last(c.home.pool.now())); err != nil { // the first: likewise
+		return false, err
 	}
-	_, err := c.Conn.Write(text[last:])
-	return err
+	_, err = c.Conn.Write(text[last:])
+	return false, err
 }
 
 var errUnasked = errors.New("connection ended or brought bytes before the call was written")
--- a/internal/relay/securepool.go
+++ b/internal/relay/securepool.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"troutusher/internal/gate"
 	"troutusher/internal/secure"
 )
 
@@ -79,7 +80,7 @@
 		now := time.Now()
 		if h.closed {
 			p.mu.Unlock()
-			return nil, errDrained
+			return nil, gate.ErrGone
 		}
 		c, again, bad := h.take(now)
 		if c != nil { // counted out at once: nobody opens one for it any more
