What an earlier process held goes one by one where nothing was learned of it

Ruled out: lists (first answers come at once) and connections (no rise of connects that fail in that second).

A message that is resumed without a hand-over (Event.Resumed) has its destination begin at an even share of the limit, nothing saved up (decide.admit). An upgrade hands the state over and is not changed by it.

--- a/decide/api.go
+++ b/decide/api.go
@@ -147,7 +147,7 @@
 // Kinds of event, each with the fields of Event that it uses.
 const (
 	EvList     EventKind = iota // news of the list: List, Entries
-	EvMessage                   // a new message: Message, Key, Left, Class, Dest, Tenant, Work, Tries, DoubtAt, DoubtIn, Worth, SentAt, SentTo
+	EvMessage                   // a new message: Message, Key, Left, Class, Dest, Tenant, Work, Tries, DoubtAt, DoubtIn, Worth, SentAt, SentTo, Resumed
 	EvBegun                     // an answer has begun to flow: Message, Attempt
 	EvOutcome                   // an attempt is over: Message, Attempt, Endpoint, Outcome, Wait, Slots, Opened, Took, Settled, Load
 	EvWithdraw                  // nobody wants the message any more: Message
@@ -246,6 +246,8 @@
 	Worth  float64
 	SentAt Time
 	SentTo Endpoint
+	// Resumed: that process told nothing of what it had learned.
+	Resumed bool
 }
 
 // ActionKind says what an Action asks for.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -235,6 +235,13 @@
 	m.place = len(p.live)
 	p.live = append(p.live, m)
 	p.later.add(m.deadline-p.margin(), func() { p.look(m) })
+	for _, l := range m.dest.lanes {
+		if e.Resumed && l.cutAt == 0 && l.nominal+l.limit > 0 {
+			// It waited, perhaps since it was refused. After a release whole fleets have such, and what each
+			// holds would go in the same second.
+			l.cut, l.cutAt = p.capacity(l)/float64(p.set.Relays), p.now
+		}
+	}
 	p.resume(m, e)
 	m.dest.queue = append(m.dest.queue, m)
 	p.touch(m.dest)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -383,7 +383,8 @@
 			continue
 		}
 		e := decide.Event{Kind: decide.EvMessage, Message: m.num, Class: class, Dest: rec.Dest, Tenant: -1,
-			Left: r.fromWall(rec.Deadline) - r.now, Tries: rec.Tries, DoubtIn: rec.DoubtIn}
+			Left: r.fromWall(rec.Deadline) - r.now, Tries: rec.Tries, DoubtIn: rec.DoubtIn,
+			Resumed: carried == nil}
 		r.named[rec.Dest] = true // once, or it would not have been taken on
 		if w, ok := worth[rec.ID]; ok {
 			e.Worth = w // its tenant's share was asked already
--- a/internal/core/waits_test.go
+++ b/internal/core/waits_test.go
@@ -202,6 +202,45 @@
 	}
 }
 
+// What an earlier process held does not go at once where nothing is known of its
+// destination; what a hand-over told of it counts.
+func TestResumedGoOneByOne(t *testing.T) {
+	for name, carried := range map[string]*Carried{"after a kill": nil, "handed over": testCore(t).Carry(3600e6)} {
+		r := testCore(t)
+		list := &List{Members: []Member{{ID: "a", HostPort: "127.0.0.1:1", Cell: 1, Phase: Up, Flavor: "k", Size: 100}}}
+		var owed []*Record
+		for i := range 20 {
+			owed = append(owed, &Record{Kind: Taken, ID: fmt.Sprint("m", i), Class: "plain", Dest: 1, Deadline: r.wall(3620e6)})
+		}
+		if carried == nil {
+			r.Book(3600e6, []Event{{Kind: News, News: decide.ListFull, List: list}}, nil)
+			r.Restore(3600e6, owed, nil, 0, nil)
+		} else {
+			carried.Members = []CarriedMember{{Member: list.Members[0], Number: 1}}
+			r.Restore(3600e6, owed, carried, 0, nil)
+		}
+		r.Step(3600e6, nil, nil)
+		var out []*Call
+		for _, m := range r.msgs {
+			if m.call != nil {
+				out = append(out, m.call)
+			}
+		}
+		if len(out) != 1 {
+			t.Fatalf("%s: %d calls begun", name, len(out))
+		}
+		sent := 0 // the window allows two then
+		for _, e := range r.Step(3600e6+1000, []Event{{Kind: Finished, Call: out[0], Result: &Result{What: decide.Delivered, Settled: true, Took: 1000}}}, nil) {
+			if e.Kind == LogThenSend {
+				sent++
+			}
+		}
+		if want := map[bool]int{true: 0, false: 2}[carried == nil]; sent != want {
+			t.Errorf("%s: %d go straight after the first, want %d", name, sent, want)
+		}
+	}
+}
+
 // rest tells the core of all that has ended.
 func (w *world) rest() {
 	events := w.queue
