Calls to discovery are spread over the fleet, resume by version and back off

Ruled out: patience alone. With 3 s instead of 1 s for an answer and the version kept through a 503, 7,431 calls were refused and none answered: it is the refused calls themselves that use discovery up.

At fault: discovery.at (discPause for all relays alike), discovery.watch (a status other than 200 forgot the version, so that two calls were needed), fetch's 1 s (a call that is let in may have its turn after 2 s), firstList (waited for news also where discovery had said no).

Change: internal/source/registry decides when to call, for what, and what to believe (no socket, no clock); the driver carries it out. The span grows with the fleet and doubles in vain, drawn from each relay's seed; a relay starts from the version it was given; an older version after a newer one is not believed, but for a registry that insists.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -249,7 +249,7 @@
 func TestCoresArePure(t *testing.T) {
 	allowed := strings.Fields("bytes cmp container/heap errors fmt log/slog maps math math/bits math/rand/v2 net slices sort strconv strings")
 	// The gate is asked by many calls at once: it has a lock, and is else like the others.
-	for _, dir := range []string{".", "../places", "../resp", "../wheel", "../duty", "../takeover", "../gate", "../tlspolicy", "../../decide"} {
+	for _, dir := range []string{".", "../places", "../resp", "../wheel", "../duty", "../takeover", "../gate", "../tlspolicy", "../source/registry", "../../decide"} {
 		allowed := allowed
 		if dir == "../gate" {
 			allowed = append([]string{"sync"}, allowed...)
@@ -257,6 +257,9 @@
 		if dir == "../tlspolicy" { // its values are certificates and times; the clock and the system's roots stay out
 			allowed = append(strings.Fields("container/list crypto/ecdsa crypto/ed25519 crypto/rsa crypto/sha256 crypto/x509 encoding/asn1 encoding/base64 encoding/binary golang.org/x/crypto/ocsp time"), allowed...)
 		}
+		if dir == "../source/registry" { // spans of time
+			allowed = append([]string{"time"}, allowed...)
+		}
 		pkgs, err := parser.ParseDir(token.NewFileSet(), dir, func(f fs.FileInfo) bool { return !strings.HasSuffix(f.Name(), "_test.go") }, 0)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -12,9 +12,11 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"troutusher/internal/core"
+	"troutusher/internal/source/registry"
 )
 
 // List is discovery's list, or what changed in it.
@@ -40,9 +42,8 @@
 	listPath    = "/registry/instances"
 	noticePath  = "/reports"
 	discSilence = 3500 * time.Millisecond // a watch says something every 2 s
-	discAnswer  = time.Second             // the agent answers at once, or is down
-	discPause   = 200 * time.Millisecond
-	listMost    = 4 << 20 // bytes of a list or a line
+	discAnswer  = time.Second             // notices are answered at once, or the agent is down
+	listMost    = 4 << 20                 // bytes of a list or a line
 )
 
 // newPlainClient makes a client for the agent on this machine: few kept
@@ -78,42 +79,56 @@
 	silence time.Duration
 	news    func(*List) // called in order
 	end     func()      // set where it may be ended before its context
+	follow  *registry.Follower
+	first   chan struct{} // closed once the first call was answered, in whatever way
+	once    sync.Once
 }
 
-func newDiscovery(addr string, log *slog.Logger, news func(*List)) *discovery {
-	return &discovery{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(4),
-		silence: discSilence, news: news}
+func newDiscovery(addr string, log *slog.Logger, follow *registry.Follower, news func(*List)) *discovery {
+	d := &discovery{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(4),
+		silence: discSilence, news: news, follow: follow, first: make(chan struct{})}
+	d.client.Transport.(*http.Transport).ResponseHeaderTimeout = 0 // each call has its own
+	return d
 }
 
 // run watches one address after another until ctx ends.
-func (d *discovery) run(ctx context.Context) { atEach(ctx, d.addr, d.moves, d.at) }
+func (d *discovery) run(ctx context.Context) {
+	atEach(ctx, d.addr, d.moves, func(ctx context.Context, addr string) {
+		d.at(ctx, addr)
+		d.follow.Move()
+	})
+}
 
-// at watches one address. Versions are that address's own, so it begins with
-// the whole list. What is heard is passed on with no delay: the grace after
-// word of a drain counts from when discovery wrote it.
+// at watches one address. What is heard is passed on with no delay: the grace
+// after word of a drain counts from when discovery wrote it.
 func (d *discovery) at(ctx context.Context, addr string) {
 	d.base = "http://" + addr
 	defer d.client.CloseIdleConnections()
-	rev, whole := int64(0), false
 	for ctx.Err() == nil {
-		var err error
-		if !whole {
-			var l *List
-			if l, err = d.fetch(ctx); err == nil {
-				rev, whole = l.Revision, true
-				d.news(l)
-			}
+		c := d.follow.Next()
+		if sleep(ctx, c.After); ctx.Err() != nil {
+			return
 		}
-		if whole {
-			rev, whole, err = d.watch(ctx, rev)
+		began := time.Now()
+		call := d.watch
+		if c.Whole {
+			call = d.fetch
 		}
-		if ctx.Err() == nil {
-			d.log.Warn("discovery: watch over", "revision", rev, "whole", whole, "err", err)
-			sleep(ctx, discPause)
+		end, err := call(ctx, c)
+		if ctx.Err() != nil {
+			return
+		}
+		d.answered()
+		d.follow.Ended(c, end, time.Since(began))
+		if err != nil {
+			d.log.Warn("discovery: call over", "whole", c.Whole, "from", c.From, "end", end, "took_ms", time.Since(began).Milliseconds(), "err", err)
 		}
 	}
 }
 
+// answered notes that the registry has said something.
+func (d *discovery) answered() { d.once.Do(func() { close(d.first) }) }
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -123,71 +138,100 @@
 	}
 }
 
-// fetch asks once for the whole list.
-func (d *discovery) fetch(ctx context.Context) (*List, error) {
-	ctx, cancel := context.WithTimeout(ctx, discAnswer)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+listPath, nil)
+// open makes one call and waits for the head of its answer as long as the call
+// allows; the answer's body is bound by ctx alone.
+func (d *discovery) open(ctx context.Context, c registry.Call, query string, cancel context.CancelCauseFunc) (*http.Response, registry.End, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+listPath+query, nil)
 	if err != nil {
-		return nil, fmt.Errorf("discovery: %w", err)
+		return nil, registry.Refused, fmt.Errorf("discovery: %w", err)
 	}
+	patience := time.AfterFunc(c.Patience, func() { cancel(errUnheard) })
 	resp, err := d.client.Do(req)
+	if !patience.Stop() || err != nil {
+		if err == nil {
+			resp.Body.Close()
+		}
+		if context.Cause(ctx) == errUnheard {
+			return nil, registry.Unheard, errUnheard
+		}
+		return nil, registry.Refused, fmt.Errorf("discovery: %w", err)
+	}
+	if code := resp.StatusCode; code != http.StatusOK {
+		resp.Body.Close()
+		end := registry.Refused
+		if code >= 400 && code < 500 && code != http.StatusTooManyRequests { // there, and not about load: the version may be what it minds
+			end = registry.Foreign
+		}
+		return nil, end, fmt.Errorf("discovery: status %d", code)
+	}
+	return resp, registry.Served, nil
+}
+
+var errUnheard = errors.New("discovery: no answer in time")
+
+// fetch asks once for the whole list.
+func (d *discovery) fetch(ctx context.Context, c registry.Call) (registry.End, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	resp, end, err := d.open(ctx, c, "", cancel)
 	if err != nil {
-		return nil, fmt.Errorf("discovery: %w", err)
+		return end, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("discovery: list: status %d", resp.StatusCode)
-	}
+	quiet := time.AfterFunc(d.silence, func() { cancel(errUnheard) })
+	defer quiet.Stop()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, listMost))
 	if err != nil {
-		return nil, fmt.Errorf("discovery: %w", err)
+		return registry.Unheard, fmt.Errorf("discovery: %w", err)
 	}
 	l, err := parseList(text)
-	if err == nil && !l.Complete {
-		err = errors.New("discovery: the whole list was asked for, a part came")
+	if err != nil {
+		return registry.Garbled, err
+	}
+	if !l.Complete {
+		return registry.Garbled, errors.New("discovery: the whole list was asked for, a part came")
 	}
-	return l, err
+	if d.follow.Take(l.Revision, true) != registry.Believe {
+		return registry.Garbled, fmt.Errorf("discovery: the whole list is of version %d, older than what is known", l.Revision)
+	}
+	d.news(l)
+	return registry.Served, nil
 }
 
-// watch follows the changes after a version. whole tells whether the list is
-// still known up to the version that it returns; after a line that cannot be
-// read it is not, and the whole list must be had again.
-func (d *discovery) watch(ctx context.Context, from int64) (rev int64, whole bool, err error) {
+// watch follows the changes after a version for as long as they come. After a
+// line that cannot be read the whole list must be had again.
+func (d *discovery) watch(ctx context.Context, c registry.Call) (registry.End, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	quiet := time.AfterFunc(d.silence, func() { cancel(errors.New("silent")) })
-	defer quiet.Stop()
-	url := d.base + listPath + "?watch=1&from=" + strconv.FormatInt(from, 10)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return from, true, fmt.Errorf("discovery: %w", err)
-	}
-	resp, err := d.client.Do(req)
+	resp, end, err := d.open(ctx, c, "?watch=1&from="+strconv.FormatInt(c.From, 10), cancel)
 	if err != nil {
-		return from, true, fmt.Errorf("discovery: %w", err)
+		return end, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return from, false, fmt.Errorf("discovery: watch: status %d", resp.StatusCode)
-	}
+	quiet := time.AfterFunc(d.silence, func() { cancel(errors.New("silent")) })
+	defer quiet.Stop()
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), listMost)
-	for rev = from; lines.Scan(); {
+	for lines.Scan() {
 		quiet.Reset(d.silence)
-		text := bytes.TrimSpace(lines.Bytes())
-		if len(text) == 0 {
-			continue
-		}
-		l, err := parseList(text)
-		if err != nil {
-			return rev, false, err
+		if text := bytes.TrimSpace(lines.Bytes()); len(text) > 0 {
+			l, err := parseList(text)
+			if err != nil {
+				return registry.Garbled, err
+			}
+			switch d.follow.Take(l.Revision, l.Complete) {
+			case registry.Believe:
+				d.news(l)
+			case registry.Ignore:
+				d.log.Warn("discovery: older than what is known", "revision", l.Revision)
+			case registry.Ask:
+				return registry.Foreign, fmt.Errorf("discovery: changes up to version %d build on none that is known", l.Revision)
+			}
 		}
-		rev = l.Revision
-		d.news(l)
+		d.answered() // an empty line as well: nothing has changed
 	}
 	if err = lines.Err(); errors.Is(err, bufio.ErrTooLong) {
-		return rev, false, fmt.Errorf("discovery: %w", err)
+		return registry.Garbled, fmt.Errorf("discovery: %w", err)
 	}
 	if err == nil {
 		err = io.EOF
@@ -195,7 +239,7 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
-	return rev, true, fmt.Errorf("discovery: %w", err)
+	return registry.Served, fmt.Errorf("discovery: %w", err)
 }
 
 // notice tells the platform how a message ended.
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"troutusher/internal/core"
+	"troutusher/internal/source/registry"
 )
 
 // watchList runs discovery and hands on what it hears.
@@ -19,7 +20,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	news, done := make(chan *List, 64), make(chan struct{})
-	x := newDiscovery(d.addr(), quietLog(), func(l *List) { news <- l })
+	x := newDiscovery(d.addr(), quietLog(), registry.New(3, 1), func(l *List) { news <- l })
 	x.silence = silence
 	go func() { defer close(done); x.run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -16,6 +16,7 @@
 	"troutusher/internal/core"
 	"troutusher/internal/front"
 	"troutusher/internal/secure"
+	"troutusher/internal/source/registry"
 	"troutusher/internal/takeover"
 	"troutusher/internal/takeover/link"
 )
@@ -109,7 +110,11 @@
 	})
 	watch, unwatch := context.WithCancel(ctx)
 	defer unwatch()
-	r.discovery = newDiscovery(cfg.Discovery, log, func(l *List) { r.in.put(happening{Event: news(l)}) })
+	follow := registry.New(cfg.Policy.Relays, cfg.Seed)
+	if cfg.Known != nil {
+		follow.Know(cfg.Known.Revision)
+	}
+	r.discovery = newDiscovery(cfg.Discovery, log, follow, func(l *List) { r.in.put(happening{Event: news(l)}) })
 	r.discovery.end = unwatch
 	go r.discovery.run(watch)
 	r.agent = cfg.Discovery
@@ -219,36 +224,42 @@
 	r.carryOut(r.core.Book(r.now(), events, r.effects[:0]))
 }
 
-// firstList waits a while for the whole list: the one in the configuration may
-// be old, and an endpoint that drained since must not be sent to. Where
-// discovery is silent the old one has to do.
+// firstList waits a while for discovery's first word: the list in the
+// configuration may be old, and an endpoint that drained since must not be sent
+// to. Where discovery is silent, or turns the relay away, the old one has to do.
 func (r *Relay) firstList() (lists []core.Event) {
 	limit := time.NewTimer(firstList)
 	defer limit.Stop()
 	if r.cfg.Known != nil {
 		lists = append(lists, core.Event{Kind: core.News, List: r.cfg.Known, News: decide.ListCached})
 	}
+	first := r.discovery.first
+	if r.cfg.Known == nil {
+		first = nil // without any list there is nothing to serve on
+	}
 	var got []happening
 	for heard := false; ; {
 		select {
 		case <-r.in.ready:
-			got = r.in.takeAll(got)
-			for _, h := range got {
-				switch {
-				case h.config != nil:
-					r.reconfigure(h.config)
-				case h.Kind == core.News:
-					lists = append(lists, h.Event)
-					heard = true
-				}
-			}
-			if heard {
-				return lists
-			}
+		case <-first: // what it said of the list came before
+			first, heard = nil, true
 		case <-limit.C:
 			r.log.Warn("discovery is silent: the list that is known is used")
 			return lists
 		}
+		got = r.in.takeAll(got)
+		for _, h := range got {
+			switch {
+			case h.config != nil:
+				r.reconfigure(h.config)
+			case h.Kind == core.News:
+				lists = append(lists, h.Event)
+				heard = true
+			}
+		}
+		if heard {
+			return lists
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/source/registry/registry.go
@@ -0,0 +1,143 @@
+// Package registry decides when a relay asks discovery's registry, for what,
+// and what it believes of the answers: the whole list or what followed a
+// version, how long an answer is waited for, and when to come again after one
+// that was refused, late, broken or unreadable.
+//
+// A registry that serves a fleet can be used up by the fleet itself: when every
+// watch breaks in the same instant, or most relays start at once, each relay's
+// next call is harmless and all of them together are turned away, at a cost to
+// the registry that is as good as an answer's. So calls are spread over a span
+// that grows with the fleet and, in vain, doubles; each relay draws from its own
+// seed. What is known is asked for again by its version, never as a whole.
+//
+// It must never open a socket, read a clock, or merge what the registry says
+// with anything else.
+package registry
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	pause      = 100 * time.Millisecond  // between any two calls
+	perRelay   = 50 * time.Millisecond   // of the span, for each relay that may call at the same moment
+	spanMost   = 4 * time.Second         // a fleet of any size can be served in some seconds; what waits longer learns too late
+	growths    = 2                       // doublings of the span at most
+	grownLeast = time.Second             // what the span of a small fleet may grow to
+	soon       = time.Second             // an answer is waited for so long where few ask ...
+	late       = 2500 * time.Millisecond // ... and where many do, since it may have its turn after 2 s
+	oldMost    = 3                       // whole lists in a row older than what is known: the registry has begun anew
+)
+
+// Call is one call to the registry.
+type Call struct {
+	Whole    bool          // the whole list; else a watch
+	From     int64         // of a watch: the version that is known
+	After    time.Duration // not before
+	Patience time.Duration // how long its answer may take to begin
+}
+
+// End is how a call ended.
+type End uint8
+
+// Ends of a call.
+const (
+	Served  End = iota + 1 // a list was had whole; or a watch was, for as long as it lasted
+	Refused                // turned away, or no connection
+	Unheard                // nothing came in time
+	Garbled                // what came cannot be read: what is known is not certain any more
+	Foreign                // the version is not known there
+)
+
+// Follower is one relay's side of one registry.
+type Follower struct {
+	rng   *rand.Rand
+	span  time.Duration
+	fails int
+	rev   int64 // what is known
+	known bool
+	heard bool // from this address
+	old   int  // whole lists in a row that were older
+	begun bool
+}
+
+// New makes the follower of a relay among so many (fewer than 1 counts as 1),
+// which draws from its own seed.
+func New(relays int, seed uint64) *Follower {
+	span := min(time.Duration(min(max(relays, 1), 1000))*perRelay, spanMost)
+	return &Follower{rng: rand.New(rand.NewPCG(seed, 0xd15c07e12)), span: span}
+}
+
+// Know tells which version the relay was given at its start.
+func (f *Follower) Know(rev int64) { f.rev, f.known = rev, true }
+
+// Move leaves for another address. Its versions may be its own.
+func (f *Follower) Move() { f.known, f.heard, f.old, f.fails, f.begun = false, false, 0, 0, false }
+
+// Known reports whether the list is known up to a version.
+func (f *Follower) Known() bool { return f.known }
+
+// Next is the next call.
+func (f *Follower) Next() Call {
+	c := Call{Whole: !f.known, From: f.rev, Patience: soon}
+	if f.span >= soon {
+		c.Patience = late
+	}
+	if f.begun {
+		c.After = pause + time.Duration(f.rng.Float64()*float64(f.reach()))
+	}
+	f.begun = true
+	return c
+}
+
+// reach is the span over which the next call is drawn.
+func (f *Follower) reach() time.Duration {
+	return min(f.span<<min(f.fails, 10), max(f.span<<growths, grownLeast))
+}
+
+// Ended books the end of a call that took so long. A watch that broke sooner
+// than this relay would call again by itself counts as one in vain.
+func (f *Follower) Ended(c Call, e End, took time.Duration) {
+	switch {
+	case e == Served && (c.Whole || took > f.reach()):
+		f.fails = 0
+	default:
+		f.fails++
+	}
+	if e == Garbled || e == Foreign {
+		f.known = false
+	}
+	if c.Whole && e == Served {
+		f.begun = false // the watch follows at once: it is the same news
+	}
+}
+
+// Verdict is what a list is worth.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Believe Verdict = iota + 1
+	Ignore          // older than what is known
+	Ask             // it builds on nothing that is known: the whole list is needed
+)
+
+// Take judges a list, or what changed in it. A version older than one heard
+// from the same registry is not believed: an endpoint that drains would be sent
+// to again. But one that shows an older whole list often enough has begun anew.
+func (f *Follower) Take(rev int64, whole bool) Verdict {
+	older := rev < f.rev
+	switch {
+	case whole && older && f.heard && f.old+1 < oldMost:
+		f.old++
+		return Ignore
+	case !whole && (!f.known || older && !f.heard):
+		f.known = false
+		return Ask
+	case !whole && older:
+		return Ignore
+	}
+	f.rev, f.known, f.heard, f.old = rev, true, true, 0
+	return Believe
+}
