--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -143,7 +143,7 @@
 func (d *discovery) open(ctx context.Context, c registry.Call, query string, cancel context.CancelCauseFunc) (*http.Response, registry.End, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.base+listPath+query, nil)
 	if err != nil {
-		return nil, registry.Refused, fmt.Errorf("discovery: %w", err)
+		return nil, registry.Unheard, fmt.Errorf("discovery: %w", err)
 	}
 	patience := time.AfterFunc(c.Patience, func() { cancel(errUnheard) })
 	resp, err := d.client.Do(req)
@@ -154,7 +154,7 @@
 		if context.Cause(ctx) == errUnheard {
 			return nil, registry.Unheard, errUnheard
 		}
-		return nil, registry.Refused, fmt.Errorf("discovery: %w", err)
+		return nil, registry.Unheard, fmt.Errorf("discovery: %w", err)
 	}
 	if code := resp.StatusCode; code != http.StatusOK {
 		resp.Body.Close()
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -85,6 +86,37 @@
 	waitFor(t, "a second watch", func() bool { d.mu.Lock(); defer d.mu.Unlock(); return len(d.froms) >= 2 })
 }
 
+// Guards against two calls where one will do: a watch that is turned away goes on
+// from its version, and a relay that was given a list begins with its version.
+func TestWatchTurnedAway(t *testing.T) {
+	m := core.Member{ID: "s-1", HostPort: "127.0.0.1:1", Cell: 3, Phase: core.Up}
+	d := newFakeDiscovery(t, m)
+	d.set(func(d *fakeDiscovery) { d.busy = 3 })
+	news := make(chan *List, 64)
+	follow := registry.New(3, 1)
+	follow.Know(7)
+	x := newDiscovery(d.addr(), quietLog(), follow, func(l *List) { news <- l })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); x.run(ctx) }()
+	defer func() { cancel(); <-done }()
+	<-x.first // turned away is an answer: the start does not wait for more
+	d.say(t, change(8, m))
+	if l := next(t, news); l.Revision != 8 {
+		t.Errorf("heard %+v", l)
+	}
+	d.say(t, change(6, m)) // older: not believed
+	d.say(t, change(9, m))
+	if l := next(t, news); l.Revision != 9 {
+		t.Errorf("heard %+v", l)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if want := []string{"watch=1&from=7", "watch=1&from=7", "watch=1&from=7"}; !slices.Equal(d.turned, want) || d.froms[0] != "7" || d.fetches != 0 {
+		t.Errorf("asked %v, then from %v, %d fetches", d.turned, d.froms, d.fetches)
+	}
+}
+
 // Guards the start against silent discovery: the relay answers with the list
 // that it was given.
 func TestStartWithoutDiscovery(t *testing.T) {
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -89,7 +89,9 @@
 	notices  map[string]notice
 	answer   int // status of notices
 	silent   bool
-	unheard  int // requests that came while silent
+	busy     int      // calls that are still to be turned away
+	turned   []string // what they asked for
+	unheard  int      // requests that came while silent
 	released chan struct{}
 }
 
@@ -115,6 +117,13 @@
 		}
 		return
 	}
+	if d.busy > 0 {
+		d.busy--
+		d.turned = append(d.turned, r.URL.RawQuery)
+		d.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if r.URL.Query().Get("watch") == "" {
 		d.fetches++
 		json.NewEncoder(w).Encode(d.list)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	firstList  = 1500 * time.Millisecond // how long the start waits for discovery
-	clockStart = decide.Time(3600e6)     // of the core's clock: sends of an earlier process lie before it
+	firstList  = 300 * time.Millisecond // how long the start waits for discovery: clients that come meanwhile give up after 400
+	clockStart = decide.Time(3600e6)    // of the core's clock: sends of an earlier process lie before it
 )
 
 // happening is something that the loop is told.
--- a/internal/source/registry/registry.go
+++ b/internal/source/registry/registry.go
@@ -20,14 +20,14 @@
 )
 
 const (
-	pause      = 100 * time.Millisecond  // between any two calls
-	perRelay   = 50 * time.Millisecond   // of the span, for each relay that may call at the same moment
-	spanMost   = 4 * time.Second         // a fleet of any size can be served in some seconds; what waits longer learns too late
-	growths    = 2                       // doublings of the span at most
-	grownLeast = time.Second             // what the span of a small fleet may grow to
-	soon       = time.Second             // an answer is waited for so long where few ask ...
-	late       = 2500 * time.Millisecond // ... and where many do, since it may have its turn after 2 s
-	oldMost    = 3                       // whole lists in a row older than what is known: the registry has begun anew
+	pause       = 100 * time.Millisecond  // between any two calls
+	perRelay    = 100 * time.Millisecond  // of the span, for each relay that may call at the same moment
+	spanMost    = 6 * time.Second         // a fleet of any size can be served in some seconds; what waits longer learns too late
+	turnedMost  = 16 * time.Second        // what the span grows to, each time doubled, where calls are turned away ...
+	unheardMost = time.Second             // ... and where nothing is heard, unless it is longer to begin with
+	soon        = time.Second             // an answer is waited for so long where few ask ...
+	late        = 2500 * time.Millisecond // ... and where many do, since it may have its turn after 2 s
+	oldMost     = 3                       // whole lists in a row older than what is known: the registry has begun anew
 )
 
 // Call is one call to the registry.
@@ -44,8 +44,8 @@
 // Ends of a call.
 const (
 	Served  End = iota + 1 // a list was had whole; or a watch was, for as long as it lasted
-	Refused                // turned away, or no connection
-	Unheard                // nothing came in time
+	Refused                // turned away: the registry is there and has too much to do
+	Unheard                // nothing came in time, or there was no connection
 	Garbled                // what came cannot be read: what is known is not certain any more
 	Foreign                // the version is not known there
 )
@@ -55,6 +55,7 @@
 	rng   *rand.Rand
 	span  time.Duration
 	fails int
+	turns int   // of them, turned away in a row
 	rev   int64 // what is known
 	known bool
 	heard bool // from this address
@@ -73,7 +74,9 @@
 func (f *Follower) Know(rev int64) { f.rev, f.known = rev, true }
 
 // Move leaves for another address. Its versions may be its own.
-func (f *Follower) Move() { f.known, f.heard, f.old, f.fails, f.begun = false, false, 0, 0, false }
+func (f *Follower) Move() {
+	f.known, f.heard, f.old, f.fails, f.turns, f.begun = false, false, 0, 0, 0, false
+}
 
 // Known reports whether the list is known up to a version.
 func (f *Follower) Known() bool { return f.known }
@@ -81,7 +84,7 @@
 // Next is the next call.
 func (f *Follower) Next() Call {
 	c := Call{Whole: !f.known, From: f.rev, Patience: soon}
-	if f.span >= soon {
+	if f.span >= soon || f.fails >= 2 {
 		c.Patience = late
 	}
 	if f.begun {
@@ -93,7 +96,10 @@
 
 // reach is the span over which the next call is drawn.
 func (f *Follower) reach() time.Duration {
-	return min(f.span<<min(f.fails, 10), max(f.span<<growths, grownLeast))
+	if f.turns > 0 {
+		return min(f.span<<min(f.turns, 10), turnedMost)
+	}
+	return min(f.span<<min(f.fails, 10), max(f.span, unheardMost))
 }
 
 // Ended books the end of a call that took so long. A watch that broke sooner
@@ -101,10 +107,13 @@
 func (f *Follower) Ended(c Call, e End, took time.Duration) {
 	switch {
 	case e == Served && (c.Whole || took > f.reach()):
-		f.fails = 0
+		f.fails, f.turns = 0, 0
 	default:
 		f.fails++
 	}
+	if e == Refused || e == Served && f.fails > 0 { // or let in and dropped: no better
+		f.turns++
+	}
 	if e == Garbled || e == Foreign {
 		f.known = false
 	}
