Connections run out only where others are answered meanwhile

Across the logs: 2,689 connects refused, all of them at destinations that are down for 5 s, none where an endpoint had no place; from second 6 on nearly each call opens its own.

Ruled out: endpoints that close (0 closed as idle), resets (14), CloseIdle on a suspect call (once an outage and endpoint).

At fault: observe counted every NoConnect for Policy.tight, by kind of destination, and keep() then holds idle connections of the whole kind for 2/80 of their time: a quarter of a second, at relays that meet an endpoint seldom.

Change: a call without a connection tells of scarcity only where another that was out in that moment was answered. The other way (to count it until the endpoint is held to be out) was not tried: a relay that meets an endpoint seldom has no verdict.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -500,17 +500,30 @@
 	}
 }
 
+// scarce books whether connections run out. A call that found none tells of it only where another one that
+// was out in that moment was answered: what is down takes none either, and to close those kept to its
+// siblings has a whole fleet open them all again.
+func (p *Policy) scarce(c *call, o Outcome) {
+	ep, t := c.ep, &p.tight[c.ep.lane.dest.kindAt]
+	answered := o == Delivered || o == Full || o == Errored
+	switch {
+	case o == NoConnect && ep.okAt < c.sent:
+		ep.missedAt = p.now // an answer may show it yet
+	case o == NoConnect || answered && ep.missedAt > c.sent:
+		*t += (1 - *t) / tightSpan
+		ep.missedAt = 0
+	case answered:
+		*t -= *t / tightSpan
+	}
+}
+
 // observe learns from how a call went.
 func (p *Policy) observe(c *call, e *Event) {
 	ep, l := c.ep, c.ep.lane
 	if e.Load.Limit > 0 {
 		l.limit = e.Load.Limit
 	}
-	if t := &p.tight[l.dest.kindAt]; e.Outcome == NoConnect {
-		*t += (1 - *t) / tightSpan
-	} else {
-		*t -= *t / tightSpan
-	}
+	p.scarce(c, e.Outcome)
 	p.settle(c, e)
 	switch e.Outcome {
 	case Delivered:
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -750,3 +750,34 @@
 		}
 	}
 }
+
+// TestConnectionsRunOut guards against idle connections that a whole fleet closes and opens again, since
+// what is down takes no connection: only an endpoint that answers others meanwhile has none left.
+func TestConnectionsRunOut(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		ends   []Outcome // of two calls that are out together, in this order
+		scarce bool
+	}{
+		{"down", []Outcome{NoConnect, NoConnect}, false},
+		{"down, then cut off", []Outcome{NoConnect, Reset}, false},
+		{"another was answered", []Outcome{NoConnect, Delivered}, true},
+		{"another had been answered", []Outcome{Delivered, NoConnect}, true},
+		{"another was turned away", []Outcome{NoConnect, Full}, true},
+		{"both were answered", []Outcome{Delivered, Delivered}, false},
+	} {
+		r := newRig(t, one(), ready(1, 100))
+		r.p.dest(0).lanes[0].window = 4
+		r.step(r.message(0, 0), r.message(0, 0))
+		if len(r.sends) != 2 {
+			t.Fatalf("%s: %d calls out", c.name, len(r.sends))
+		}
+		for i, a := range r.sends {
+			r.now += second / 10
+			r.step(answer(a, c.ends[i]))
+		}
+		if got := r.p.tight[0] > 0; got != c.scarce {
+			t.Errorf("%s: held to run out: %v", c.name, got)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -93,6 +93,7 @@
 	okAt      Time
 	budget    bucket
 	need      float64 // what the next call takes out of the budget
+	missedAt  Time    // last call that found no connection, where none that was out then has been answered yet
 	mute      bool    // the last failure was a silence, not an answer
 	opening   float64 // what a connection takes, in calls
 	barred    Time    // until then its identity is not proved
