--- /dev/null
+++ b/cmd/troutusher-kit/fleet.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"troutusher/internal/fleetlog"
+)
+
+// fleetCommand is "troutusher fleet": what many relays do together.
+type fleetCommand struct {
+	Report fleetReport `cmd:"" help:"Add up the logs of all relays of one day: by second and destination, with what one relay saw beside."`
+}
+
+type fleetReport struct {
+	Dir  string `arg:"" help:"Folder with a file NAME.log for each relay: what it wrote to standard error."`
+	Dest *int   `help:"Show the seconds of this destination, not of all."`
+	HTML string `name:"html" placeholder:"FILE" help:"Write a page with plots as well. It needs nothing else to be looked at."`
+}
+
+func (c *fleetReport) Run(out io.Writer) error {
+	day, err := fleetlog.Read(os.DirFS(c.Dir), c.Dir)
+	if err != nil {
+		return err
+	}
+	if c.HTML != "" {
+		f, err := os.Create(c.HTML)
+		if err != nil {
+			return err
+		}
+		if err := day.WriteHTML(f); err != nil {
+			f.Close()
+			return err
+		}
+		if err := f.Close(); err != nil {
+			return err
+		}
+	}
+	return day.WriteText(out, c.Dest)
+}
+
+func runFleet(args []string, out, errs io.Writer) int {
+	return runKong("fleet", "What many relays do together, from their logs.", &fleetCommand{}, args, out, errs)
+}
+
+// runKong parses arguments with kong and runs the command that they name.
+func runKong(name, about string, cli any, args []string, out, errs io.Writer) int {
+	code, done := 0, false
+	k, err := kong.New(cli, kong.Name("troutusher "+name), kong.Description(about), kong.Writers(out, errs),
+		kong.Exit(func(c int) { code, done = c, true }), kong.BindTo(out, (*io.Writer)(nil)))
+	if err != nil {
+		fmt.Fprintf(errs, "troutusher %s: %v\n", name, err)
+		return exitFailed
+	}
+	ctx, err := k.Parse(args)
+	if done {
+		return code
+	}
+	if err != nil {
+		fmt.Fprintf(errs, "troutusher %s: %v\n", name, err)
+		return exitConfig
+	}
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintf(errs, "troutusher %s: %v\n", name, err)
+		return exitFailed
+	}
+	return 0
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -256,8 +256,8 @@
 // Kinds of action, each with the fields of Action that it uses.
 const (
 	ActSend    ActionKind = iota // Message, Endpoint, At (the moment it times out), Cold, Opens
-	ActRefuse                    // Message, After (advice to the client)
-	ActFail                      // Message
+	ActRefuse                    // Message, After (advice to the client), Why
+	ActFail                      // Message, Why
 	ActCancel                    // Message, Attempt
 	ActTimer                     // After, Token
 	ActProbe                     // Endpoint
@@ -280,4 +280,31 @@
 	After    Time
 	Token    uint64
 	Text     string
+	Why      Reason // ActRefuse, ActFail: the rule that ended it
+}
+
+// Reason is the rule by which a message was ended that had not been delivered.
+type Reason uint8
+
+// Reasons.
+const (
+	OutOfTime  Reason = iota + 1 // it would run out of time before it is looked at again
+	NoRoom                       // least is lost with it, of all that is held, and the room is full
+	NoAttempts                   // no further attempt of it is allowed
+	NoProof                      // its destination proves itself again too late for it
+	Unknown                      // nothing is known of its class
+)
+
+func (r Reason) String() string {
+	switch r {
+	case OutOfTime:
+		return "time"
+	case NoRoom:
+		return "room"
+	case NoAttempts:
+		return "attempts"
+	case NoProof:
+		return "proof"
+	}
+	return "unknown"
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -185,7 +185,7 @@
 // barredOut ends a message whose destination proves itself again after its deadline at the soonest.
 func (p *Policy) barredOut(m *message) {
 	if m.call == nil && p.proved(m.dest) >= m.deadline-p.margin() {
-		p.end(m)
+		p.end(m, NoProof)
 	}
 }
 
@@ -212,7 +212,7 @@
 		return
 	}
 	if e.Class < 0 || e.Class >= len(p.set.Classes) {
-		p.act(Action{Kind: ActRefuse, Message: e.Message}) // nothing is known of it, and nothing has run
+		p.act(Action{Kind: ActRefuse, Message: e.Message, Why: Unknown}) // and nothing has run
 		return
 	}
 	c := &p.set.Classes[e.Class]
@@ -319,7 +319,7 @@
 		if least == nil {
 			return
 		}
-		p.end(least)
+		p.end(least, NoRoom)
 	}
 }
 
@@ -334,18 +334,18 @@
 }
 
 // end gives the one final answer of a message that was not delivered. Nothing else does.
-func (p *Policy) end(m *message) {
+func (p *Policy) end(m *message, why Reason) {
 	if m.over {
 		return
 	}
 	if p.refusable(m) {
-		a := Action{Kind: ActRefuse, Message: m.id}
+		a := Action{Kind: ActRefuse, Message: m.id, Why: why}
 		if p.set.RetryAfter {
 			a.After = min(max(p.drain(m.dest), p.proved(m.dest)-p.now), p.set.MaxRetryAfter)
 		}
 		p.act(a)
 	} else {
-		p.act(Action{Kind: ActFail, Message: m.id})
+		p.act(Action{Kind: ActFail, Message: m.id, Why: why})
 	}
 	p.finish(m)
 }
@@ -401,7 +401,11 @@
 	if m.call != nil && p.set.Cancels {
 		p.act(Action{Kind: ActCancel, Message: m.id, Attempt: m.tries - 1})
 	}
-	p.end(m)
+	if p.now < m.deadline-p.margin() {
+		p.end(m, NoAttempts)
+	} else {
+		p.end(m, OutOfTime)
+	}
 }
 
 // giveBack closes the idle connections of an endpoint that has not been used since.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,6 +17,7 @@
 	"slices"
 
 	"troutusher/decide"
+	"troutusher/internal/tally"
 )
 
 // Figures of a planned end. A relay has 3.7 s from SIGTERM until it is killed.
@@ -171,6 +172,7 @@
 type message struct {
 	num     uint32
 	rec     *Record
+	since   decide.Time
 	req     *Request // until it is answered
 	heard   bool     // its client knows that it is taken on
 	logged  bool     // the log has it, or will
@@ -235,6 +237,7 @@
 	later     []Event // for the next step
 	timers    timers
 	ends      []Ends // of each class
+	tally     *tally.Tally
 	held      int
 	calls     int
 	ceding    bool // no new call is begun
@@ -251,7 +254,7 @@
 	}
 	return &Core{set: s, policy: policy, msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*Request]*message{},
 		byID: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, named: map[int]bool{}, waits: map[int]decide.Time{},
-		ends: make([]Ends, len(s.Policy.Classes))}, nil
+		ends: make([]Ends, len(s.Policy.Classes)), tally: tally.New()}, nil
 }
 
 // Ends are how many messages of a class ended in each way: delivered; refused
@@ -353,6 +356,9 @@
 	if len(r.events) > 0 {
 		r.step()
 	}
+	if args := r.tally.Turn(r.wall(r.now)); args != nil {
+		r.tell(slog.LevelInfo, "tally", args...)
+	}
 	return r.done()
 }
 
@@ -398,6 +404,7 @@
 			r.goOn(m, k, shift, &e)
 		}
 		r.events = append(r.events, e)
+		r.tally.Add(rec.Dest, tally.Resumed, 1)
 		r.tell(slog.LevelInfo, "resumed", "message", rec.ID, "class", rec.Class, "tries", rec.Tries,
 			"may_have_run", rec.Doubt != 0, "left_ms", e.Left/1000)
 	}
@@ -406,7 +413,7 @@
 
 func (r *Core) newMessage(rec *Record) *message {
 	r.lastNum++
-	m := &message{num: r.lastNum, rec: rec}
+	m := &message{num: r.lastNum, rec: rec, since: r.now}
 	r.msgs[m.num], r.ids[rec.ID] = m, m
 	r.held++
 	return m
@@ -467,9 +474,11 @@
 // admit shows a message to the policy. Whether it is taken on shows in the
 // step: what the policy ends there is refused with no further ado.
 func (r *Core) admit(q *Request) {
+	r.tally.Add(q.Rec.Dest, tally.In, 1)
 	switch old := r.ids[q.Rec.ID]; {
 	case r.stopping && !r.takesStopping(q):
 		r.count(q.Rec.Class, deferred)
+		r.tally.Add(q.Rec.Dest, tally.Back+"stopping", 1)
 		r.answer(q, Reply{Busy: stopRetry})
 		return
 	case old != nil && old.heard: // it is ours already
@@ -486,6 +495,7 @@
 		return
 	case r.set.Policy.MaxHeld > 0 && r.held >= r.set.Policy.MaxHeld:
 		r.count(q.Rec.Class, deferred)
+		r.tally.Add(q.Rec.Dest, tally.Back+"most_held", 1)
 		r.answer(q, Reply{})
 		return
 	}
@@ -687,6 +697,7 @@
 		if m.req != nil && !m.over { // its client hears of it once it is logged
 			q := m.req
 			m.req, m.logged = nil, true
+			r.tally.Add(m.rec.Dest, tally.Taken, 1)
 			r.do(Effect{Kind: LogThenAnswer, Record: m.rec, Request: q})
 		}
 	}
@@ -705,8 +716,10 @@
 	ms := (a.After + 999) / 1000
 	if word == HandedBack {
 		r.count(m.rec.Class, deferred)
+		r.tally.Add(m.rec.Dest, tally.Back+a.Why.String(), 1)
 	} else {
 		r.count(m.rec.Class, errored)
+		r.tally.Add(m.rec.Dest, tally.GivenUp, 1)
 	}
 	if q := m.req; q != nil { // not taken on: the client hears it at once
 		m.req = nil
@@ -720,7 +733,7 @@
 		return
 	}
 	r.drop(m)
-	r.tell(slog.LevelInfo, "ended", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "outcome", word, "tries", m.tries,
+	r.tell(slog.LevelInfo, "ended", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "outcome", word, "why", a.Why.String(), "tries", m.tries,
 		"left_ms", (r.fromWall(m.rec.Deadline)-r.now)/1000)
 	if !m.heard {
 		m.ending = &Record{Notice: word, RetryMS: ms}
@@ -767,6 +780,7 @@
 		r.timers.add(now + a.After)
 	case decide.ActProbe:
 		if ep := r.byNum[a.Endpoint]; ep != nil && !ep.gone {
+			r.tally.Add(ep.cell, tally.Probed, 1)
 			r.do(Effect{Kind: Probe, Endpoint: a.Endpoint})
 		}
 	case decide.ActClose:
@@ -796,6 +810,14 @@
 	m.call = c
 	ep.calls = append(ep.calls, c)
 	r.calls++
+	r.tally.Add(m.rec.Dest, tally.Sent, 1)
+	if ep.zone != r.set.Policy.Zone {
+		r.tally.Add(m.rec.Dest, tally.Crossed, 1)
+	}
+	if m.tries == 1 {
+		r.tally.Add(m.rec.Dest, tally.Firsts, 1)
+		r.tally.Add(m.rec.Dest, tally.FirstMS, (r.now-m.since)/1000)
+	}
 	r.do(Effect{Kind: LogThenSend, Record: &Record{Kind: Attempt, ID: m.rec.ID, At: r.wall(r.now), Zone: ep.zone}, Call: c})
 }
 
@@ -828,6 +850,10 @@
 	return r.waits[ep.cell]
 }
 
+// ended are the outcomes in the tally's words.
+var ended = map[decide.Outcome]string{decide.Delivered: tally.Delivered, decide.Errored: tally.Errored, decide.Full: tally.Full,
+	decide.TimedOut: tally.TimedOut, decide.NoConnect: tally.NoConnect, decide.Reset: tally.Reset, decide.Cancelled: tally.Cancelled, decide.NotSent: tally.NotSent}
+
 // finished books the end of an attempt.
 func (r *Core) finished(c *Call, o *Result, logged bool) {
 	m := c.m
@@ -844,6 +870,8 @@
 		m.call = nil
 		r.calls--
 	}
+	r.tally.Add(m.rec.Dest, ended[o.What], 1)
+	r.tally.Add(m.rec.Dest, tally.Dialed, int64(o.Opened))
 	r.events = append(r.events, e)
 	if c.ep != nil && c.ep.open && c.ep.suspect(o, r.now) {
 		r.do(Effect{Kind: CloseIdle, Endpoint: c.ep.num})
--- /dev/null
+++ b/internal/fleetlog/fleetlog.go
@@ -0,0 +1,295 @@
+// Package fleetlog adds up the logs of the relays of one fleet: what each of
+// them counted by second and destination, when it learned of a list, how its
+// calls to discovery ended, and when it was ready. It reads the relay's own log
+// lines and guesses nothing that they do not say.
+package fleetlog
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"maps"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+
+	"troutusher/internal/tally"
+)
+
+const (
+	lineMost   = 1 << 20 // bytes of a line; the rest of a longer one is left out
+	secondsMax = 1 << 17 // seconds that a day may span: a wrong clock must not fill the memory
+)
+
+// Counts are sums by name.
+type Counts map[string]int64
+
+func (c Counts) add(o Counts) {
+	for k, n := range o {
+		c[k] += n
+	}
+}
+
+// List is news of the list, with the moments at which relays heard of it.
+type List struct {
+	Revision    int64
+	First, Last time.Time
+	Relays      int
+}
+
+// Day is what a fleet's logs say together.
+type Day struct {
+	Relays    []string // with lines that could be read
+	Empty     []string // files with none
+	Foreign   int      // lines that are no lines of a relay's log
+	Torn      int      // last lines that end in the middle
+	Strange   int      // lines of a tally that name a second far from all others, or count what cannot be
+	From, To  int64    // seconds of Unix time, of what was counted; To is the last one
+	Starts    []time.Time
+	Dests     []int // in order
+	Discovery Counts
+	Lists     []List
+	Says      map[string]int // the policies' own words, by how many relays
+
+	cells map[int64]map[int]Counts // by second and destination
+	own   map[string]map[int]Counts
+}
+
+// At is what all relays together counted in one second, for one destination.
+func (d *Day) At(second int64, dest int) Counts { return d.cells[second][dest] }
+
+// Second is the same for all destinations.
+func (d *Day) Second(second int64) Counts {
+	sum := Counts{}
+	for _, c := range d.cells[second] {
+		sum.add(c)
+	}
+	return sum
+}
+
+// Dest is the same for all seconds.
+func (d *Day) Dest(dest int) Counts {
+	sum := Counts{}
+	for _, dests := range d.cells {
+		sum.add(dests[dest])
+	}
+	return sum
+}
+
+// Spread is how a count of a destination lies over the relays: what the relay
+// in the middle has, and the one with most.
+func (d *Day) Spread(dest int, what string) (median, most int64) {
+	all := make([]int64, 0, len(d.Relays))
+	for _, r := range d.Relays {
+		all = append(all, d.own[r][dest][what])
+	}
+	if len(all) == 0 {
+		return 0, 0
+	}
+	slices.Sort(all)
+	return all[len(all)/2], all[len(all)-1]
+}
+
+// Handed is how many messages were handed back or refused by the rules that
+// the names end in.
+func (c Counts) Handed() (sum int64) {
+	for k, n := range c {
+		if strings.HasPrefix(k, tally.Back) {
+			sum += n
+		}
+	}
+	return sum
+}
+
+// errNothing: a folder without a log that can be read.
+var errNothing = errors.New("no readable log")
+
+// Read adds up the files *.log of a folder, one for each relay; name is what
+// errors call the folder.
+func Read(dir fs.FS, name string) (*Day, error) {
+	files, err := fs.Glob(dir, "*.log")
+	if err != nil {
+		return nil, err
+	}
+	d := &Day{Discovery: Counts{}, Says: map[string]int{}, cells: map[int64]map[int]Counts{}, own: map[string]map[int]Counts{}}
+	lists := map[int64]*List{}
+	for _, file := range files {
+		f, err := dir.Open(file)
+		if err != nil {
+			d.Empty = append(d.Empty, file)
+			continue
+		}
+		relay := strings.TrimSuffix(path.Base(file), ".log")
+		lines, err := d.relay(relay, f, lists)
+		f.Close()
+		if err != nil || lines == 0 {
+			d.Empty = append(d.Empty, file)
+			continue
+		}
+		d.Relays = append(d.Relays, relay)
+	}
+	if len(d.Relays) == 0 {
+		return nil, fmt.Errorf("%s: %w", name, errNothing)
+	}
+	for _, rev := range slices.Sorted(maps.Keys(lists)) {
+		d.Lists = append(d.Lists, *lists[rev])
+	}
+	d.finish()
+	return d, nil
+}
+
+// relay reads one log and returns how many of its lines are a relay's.
+func (d *Day) relay(name string, r io.Reader, lists map[int64]*List) (lines int, err error) {
+	in := bufio.NewReaderSize(r, 64<<10)
+	said, heard := map[string]bool{}, map[int64]bool{}
+	for {
+		text, whole, err := line(in)
+		if len(text) > 0 {
+			switch {
+			case !whole && err == io.EOF && !d.take(name, text, lists, said, heard):
+				d.Torn++
+			case !whole && err == io.EOF: // its line end alone is missing, or it was cut where a field ends
+				lines++
+			case !whole || !d.take(name, text, lists, said, heard):
+				d.Foreign++
+			default:
+				lines++
+			}
+		}
+		if err == io.EOF {
+			return lines, nil
+		}
+		if err != nil {
+			return lines, err
+		}
+	}
+}
+
+// line reads one line; whole is false for one that is too long or has no end.
+func line(in *bufio.Reader) (text []byte, whole bool, err error) {
+	long := false
+	for {
+		part, err := in.ReadSlice('\n')
+		if len(text)+len(part) > lineMost {
+			long = true
+		} else {
+			text = append(text, part...)
+		}
+		if err == bufio.ErrBufferFull {
+			continue
+		}
+		whole = !long && err == nil
+		return bytes.TrimRight(text, "\r\n"), whole, err
+	}
+}
+
+// take reads one line and reports whether it is one of a relay's log. What
+// stands before its time, as some collectors put it there, is left out.
+func (d *Day) take(relay string, text []byte, lists map[int64]*List, said map[string]bool, heard map[int64]bool) bool {
+	at := bytes.Index(text, []byte("time="))
+	if at < 0 {
+		return false
+	}
+	dec := logfmt.NewDecoder(bytes.NewReader(text[at:]))
+	if !dec.ScanRecord() {
+		return false
+	}
+	fields, order := map[string]string{}, []string{}
+	for dec.ScanKeyval() {
+		k := string(dec.Key())
+		if _, ok := fields[k]; !ok {
+			order = append(order, k)
+		}
+		fields[k] = string(dec.Value())
+	}
+	when, err := time.Parse(time.RFC3339, fields["time"])
+	if dec.Err() != nil || err != nil || fields["msg"] == "" || fields["level"] == "" {
+		return false
+	}
+	switch fields["msg"] {
+	case "tally":
+		d.count(relay, fields, order)
+	case "ready":
+		d.Starts = append(d.Starts, when)
+	case "discovery: call over":
+		d.Discovery["calls"]++
+		d.Discovery[fields["end"]]++
+	case "list":
+		rev, err := strconv.ParseInt(fields["revision"], 10, 64)
+		if err != nil || heard[rev] {
+			break
+		}
+		heard[rev] = true
+		l := lists[rev]
+		if l == nil {
+			l = &List{Revision: rev, First: when, Last: when}
+			lists[rev] = l
+		}
+		l.Relays++
+		if when.Before(l.First) {
+			l.First = when
+		}
+		if when.After(l.Last) {
+			l.Last = when
+		}
+	case "policy":
+		if s := fields["says"]; !said[s] && len(d.Says) < 1000 {
+			said[s] = true
+			d.Says[s]++
+		}
+	}
+	return true
+}
+
+func (d *Day) count(relay string, fields map[string]string, order []string) {
+	second, err := strconv.ParseInt(fields["second"], 10, 64)
+	if err != nil || second < 0 || len(d.cells) > 0 && (second < d.From-secondsMax || second > d.From+secondsMax) {
+		d.Strange++
+		return
+	}
+	if len(d.cells) == 0 {
+		d.From, d.To = second, second
+	}
+	d.From, d.To = min(d.From, second), max(d.To, second)
+	if d.cells[second] == nil {
+		d.cells[second] = map[int]Counts{}
+	}
+	if d.own[relay] == nil {
+		d.own[relay] = map[int]Counts{}
+	}
+	for _, k := range order {
+		dest, what, ok := tally.Key(k)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseInt(fields[k], 10, 64)
+		if err != nil || n < 0 {
+			d.Strange++
+			continue
+		}
+		for _, m := range []map[int]Counts{d.cells[second], d.own[relay]} {
+			if m[dest] == nil {
+				m[dest] = Counts{}
+			}
+			m[dest][what] += n
+		}
+	}
+}
+
+func (d *Day) finish() {
+	dests := map[int]bool{}
+	for _, m := range d.cells {
+		for id := range m {
+			dests[id] = true
+		}
+	}
+	d.Dests = slices.Sorted(maps.Keys(dests))
+	slices.SortFunc(d.Starts, time.Time.Compare)
+}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -126,6 +126,13 @@
 	}
 }
 
+// heard hands news on, and tells the log when it came: a fleet does not learn in
+// the same moment.
+func (d *discovery) heard(l *List) {
+	d.log.Info("list", "revision", l.Revision, "whole", l.Complete, "members", len(l.Members))
+	d.news(l)
+}
+
 // answered notes that the registry has said something.
 func (d *discovery) answered() { d.once.Do(func() { close(d.first) }) }
 
@@ -194,7 +201,7 @@
 	if d.follow.Take(l.Revision, true) != registry.Believe {
 		return registry.Garbled, fmt.Errorf("discovery: the whole list is of version %d, older than what is known", l.Revision)
 	}
-	d.news(l)
+	d.heard(l)
 	return registry.Served, nil
 }
 
@@ -221,7 +228,7 @@
 			}
 			switch d.follow.Take(l.Revision, l.Complete) {
 			case registry.Believe:
-				d.news(l)
+				d.heard(l)
 			case registry.Ignore:
 				d.log.Warn("discovery: older than what is known", "revision", l.Revision)
 			case registry.Ask:
