A ramp is counted from the middle of its gap, for all endpoints that went together

Checked and ruled out: window (5), pace (5.0 of 1.2 needed), drop chance (0.00 to 0.17), cut (none); it is the budget of a cold destination alone.

At fault: healthy (goodAt = now, of that endpoint alone). A success tells that the destination came back between the last failure and its call: the middle is right in the mean over a fleet. What was condemned together, and has not failed since, is held to have come back together.

Also: a wait told after its route had left the list was lost in the policy when the route came back, and a route that came back within its wait was never used again (members joined nothing where the old one was kept).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -110,7 +110,7 @@
 				p.leave(ep)
 			}
 			continue
-		case ep == nil:
+		case ep == nil || ep.state == Gone: // the second is kept for its wait
 			ep = p.join(x)
 		}
 		ep.state, ep.zone, ep.opening = x.State, x.Zone, x.Opening
@@ -459,9 +459,16 @@
 		p.observe(c, e)
 	}
 	if e.Wait > 0 && (e.Outcome == Full || e.Outcome == Errored) { // the second: its answer was spoilt later
-		c.ep.lane.waitUntil = max(c.ep.lane.waitUntil, p.now+e.Wait)
-		for _, x := range c.ep.lane.eps { // what is saved up while it is closed would go at once
-			x.budget.tokens, x.budget.at = 0, c.ep.lane.waitUntil
+		l := c.ep.lane
+		if ep := p.eps[c.ep.id]; ep == nil { // it has left since, and may come back before the wait is over
+			p.eps[c.ep.id] = c.ep
+			defer p.leave(c.ep)
+		} else if ep.lane.dest == l.dest {
+			l = ep.lane // it is back already
+		}
+		l.waitUntil = max(l.waitUntil, p.now+e.Wait)
+		for _, x := range l.eps { // what is saved up while it is closed would go at once
+			x.budget.tokens, x.budget.at = 0, l.waitUntil
 		}
 	}
 	doubtful := e.Outcome == TimedOut || e.Outcome == Reset || e.Outcome == Cancelled
@@ -589,7 +596,12 @@
 	ep.score *= scoreKeep
 	ep.okAt = p.now
 	if ep.sick && ep.goodAt == 0 && sent >= ep.badAt {
-		ep.goodAt, ep.goodSent = p.now, sent
+		ep.goodAt, ep.goodSent = sent-(sent-ep.badAt)/2, sent
+		for _, x := range ep.lane.eps {
+			if x.sick && x.goodAt == 0 && x.firstBad == ep.firstBad && x.badAt <= sent {
+				x.goodAt, x.goodSent = ep.goodAt, sent
+			}
+		}
 		p.logf("dest %d: answers again, ramp", ep.lane.dest.id)
 	}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -781,3 +781,88 @@
 		}
 	}
 }
+
+// allOut has all endpoints of a rig's destination 0 held to be out since now.
+func allOut(r *rig) {
+	for _, ep := range r.p.dest(0).lanes[0].eps {
+		for range 3 {
+			r.p.failed(ep, r.now, false)
+		}
+		if !ep.sick {
+			r.t.Fatalf("endpoint %d is not held to be out", ep.id)
+		}
+	}
+}
+
+// TestRampBegins: a relay that asks seldom hears of a return long after it. The ramp is held to have begun in
+// the middle between its last failure and the call that was answered, and for all endpoints that went with it.
+func TestRampBegins(t *testing.T) {
+	r := newRig(t, one(), ready(1, 100), ready(2, 100))
+	allOut(r)
+	a, b := r.p.eps[1], r.p.eps[2]
+	down := r.now
+	r.now += 4 * second
+	r.p.now = r.now
+	r.p.healthy(a, r.now-second) // sent 3 s after the last failure
+	if want := down + 3*second/2; a.goodAt != want || b.goodAt != want {
+		t.Errorf("the ramps begin %d and %d after the last failure, want %d", a.goodAt-down, b.goodAt-down, want-down)
+	}
+	if got, want := r.p.ramped(b), 0.2+0.8*0.25; math.Abs(got-want) > 0.001 {
+		t.Errorf("held to have %.3f of its capacity, want %.3f", got, want)
+	}
+	r.p.failed(b, r.now-second/2, false) // it has not returned after all
+	if b.goodAt != 0 || a.goodAt == 0 {
+		t.Error("a failure there does not undo its own ramp, and its alone")
+	}
+	r = newRig(t, one(), ready(1, 100), ready(2, 100))
+	allOut(r)
+	r.now += second
+	r.p.now = r.now
+	r.p.failed(r.p.eps[2], r.now, false)
+	r.p.healthy(r.p.eps[1], r.now-second/2)
+	if r.p.eps[2].goodAt != 0 {
+		t.Error("one that failed after the call was sent is held to be back")
+	}
+}
+
+// TestWaitOfARouteThatLeft: a wait that is told after its route has left the list binds it when it comes back,
+// whichever is first.
+func TestWaitOfARouteThatLeft(t *testing.T) {
+	for _, order := range []string{"told, back", "back, told"} {
+		s := one()
+		s.Kinds[0].Apart = true
+		r := newRig(t, s, ready(1, 100))
+		r.step(r.message(0, 0))
+		a := r.sends[0]
+		told := answer(a, Full)
+		told.Wait = 2 * second
+		gone, back := ready(1, 100), ready(1, 100)
+		gone.State = Gone
+		r.step(Event{Kind: EvList, List: ListChange, Entries: []Entry{gone}})
+		end := r.now + told.Wait
+		if order == "told, back" {
+			r.step(told)
+			r.now += second / 2
+			r.step(Event{Kind: EvList, List: ListChange, Entries: []Entry{back}})
+		} else {
+			r.step(Event{Kind: EvList, List: ListChange, Entries: []Entry{back}})
+			r.step(told)
+		}
+		for r.now < end-second/10 {
+			if len(r.sends) > 0 {
+				t.Fatalf("%s: sent %d before the end of the wait", order, end-r.now)
+			}
+			r.now += second / 10
+			r.step(r.message(0, 0))
+		}
+		for range 40 {
+			r.now += second / 10
+			if r.step(Event{Kind: EvTimer}); len(r.sends) > 0 {
+				break
+			}
+		}
+		if len(r.sends) == 0 {
+			t.Errorf("%s: nothing is sent after the wait", order)
+		}
+	}
+}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -22,6 +22,18 @@
 	next    uint32
 	tries   map[uint32]int
 	asked   []int
+
+	downAt, upAt Time   // in between it takes no connection, and then it returns cold; 0 for never
+	came         []Time // what was sent to it since then
+}
+
+// able is the calls a second that it can do.
+func (c *crowd) able(now Time) float64 {
+	if c.upAt == 0 || now < c.upAt {
+		return c.rate
+	}
+	s := &c.relays[0].set
+	return c.rate * min(1, s.StartCapacity+(1-s.StartCapacity)*float64(now-c.upAt)/float64(s.RampTime))
 }
 
 func newCrowd(t *testing.T, n int, rate float64, seed uint64) *crowd {
@@ -41,7 +53,7 @@
 }
 
 func (c *crowd) take(now Time) bool {
-	c.tokens = min(c.tokens+c.rate*float64(now-c.at)/1e6, c.rate/3)
+	c.tokens = min(c.tokens+c.able(now)*float64(now-c.at)/1e6, c.able(now)/3)
 	c.at = now
 	c.tokens--
 	if c.tokens >= 0 {
@@ -62,7 +74,12 @@
 			c.tries[a.Message]++
 			c.answers.add(now+40e3, func() {
 				o := Full
-				if c.take(now + 40e3) {
+				if c.downAt > 0 && now+40e3 >= c.upAt {
+					c.came = append(c.came, now+40e3)
+				}
+				if c.downAt > 0 && now+40e3 >= c.downAt && now+40e3 < c.upAt {
+					o = NoConnect
+				} else if c.take(now + 40e3) {
 					o = Delivered
 					c.taken[i]++
 				} else {
@@ -128,6 +145,45 @@
 	}
 }
 
+// TestColdReturn: a destination that returns cold to a fleet with full queues is sent no more than it bears in
+// any fall time, and gets a good part of it: relays that count the ramp from their own first success leave it
+// idle.
+func TestColdReturn(t *testing.T) {
+	for n, least := range map[int]float64{80: 0.93, 300: 0.77} {
+		mean := 0.0
+		for seed := range uint64(3) {
+			const rate, start = 90.0, 1000 * second
+			c := newCrowd(t, n, rate, seed)
+			c.downAt, c.upAt = start+10*second, start+15*second
+			c.play(start, 30*second, 0.85*rate)
+			set := &c.relays[0].set
+			worst, used, able, first := 0.0, 0.0, 0.0, len(c.came)
+			for i, at := range c.came {
+				if at < c.upAt+set.RampTime {
+					used++
+				}
+				room := 0.0
+				for t := at - set.FallTime; t < at; t += second / 10 {
+					room += set.OverloadFactor * c.able(max(t, c.upAt)) / 10
+				}
+				for first = min(first, i); c.came[first] < at-set.FallTime; first++ {
+				}
+				worst = max(worst, float64(i-first+1)/room)
+			}
+			for at := c.upAt; at < c.upAt+set.RampTime; at += second / 10 {
+				able += c.able(at) / 10
+			}
+			mean += used / able / 3
+			if worst > 1 {
+				t.Errorf("%d relays, seed %d: %.2f times what it bears in a fall time", n, seed, worst)
+			}
+		}
+		if mean < least {
+			t.Errorf("%d relays: sent %.2f of what it can do", n, mean)
+		}
+	}
+}
+
 // TestCutAfterARefusal: a refusal holds a relay to less than it has sent itself, at least to half of an even
 // share, with nothing saved up; and time gives it back.
 func TestCutAfterARefusal(t *testing.T) {
