--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,7 +23,7 @@
 	boostFall   = 0.75 // pace after a refusal
 	boostRise   = 1.08 // pace after a success that the pace had kept waiting
 	boostLeast  = 0.5
-	cutFall     = 0.7  // rate after a refusal, to what this relay has sent there of late
+	cutFall     = 0.5  // rate after a refusal, to what this relay has sent there of late
 	cutLeast    = 0.5  // and at least this part of an even share of the limit
 	cutRise     = 0.1  // even shares that come back each second
 	shareRoot   = 0.75 // a share is the rate over relays to this power: small streams need room
@@ -117,6 +117,9 @@
 		if p.set.RatesListed && x.Rate > 0 {
 			ep.lane.nominal = x.Rate
 		}
+		if l := ep.lane; !l.tokens.used && p.wide(l) {
+			l.tokens = bucket{p.now, 1, true} // what a whole fleet gets as it starts would go in one burst
+		}
 		p.touch(ep.lane.dest)
 	}
 	if e.List == ListFull || e.List == ListCached {
