--- a/internal/fleetlog/fleetlog.go
+++ b/internal/fleetlog/fleetlog.go
@@ -25,6 +25,7 @@
 
 const (
 	lineMost   = 1 << 20 // bytes of a line; the rest of a longer one is left out
+	countMost  = 1 << 40 // of one name in one second
 	secondsMax = 1 << 17 // seconds that a day may span: a wrong clock must not fill the memory
 )
 
@@ -58,8 +59,9 @@
 	Lists     []List
 	Says      map[string]int // the policies' own words, by how many relays
 
-	cells map[int64]map[int]Counts // by second and destination
-	own   map[string]map[int]Counts
+	origin int64                    // the first second that was read
+	cells  map[int64]map[int]Counts // by second and destination
+	own    map[string]map[int]Counts
 }
 
 // At is what all relays together counted in one second, for one destination.
@@ -250,13 +252,13 @@
 
 func (d *Day) count(relay string, fields map[string]string, order []string) {
 	second, err := strconv.ParseInt(fields["second"], 10, 64)
-	if err != nil || second < 0 || len(d.cells) > 0 && (second < d.From-secondsMax || second > d.From+secondsMax) {
+	if len(d.cells) == 0 && err == nil {
+		d.origin, d.From, d.To = second, second, second
+	}
+	if err != nil || second < 0 || second < d.origin-secondsMax || second > d.origin+secondsMax {
 		d.Strange++
 		return
 	}
-	if len(d.cells) == 0 {
-		d.From, d.To = second, second
-	}
 	d.From, d.To = min(d.From, second), max(d.To, second)
 	if d.cells[second] == nil {
 		d.cells[second] = map[int]Counts{}
@@ -270,7 +272,7 @@
 			continue
 		}
 		n, err := strconv.ParseInt(fields[k], 10, 64)
-		if err != nil || n < 0 {
+		if err != nil || n < 0 || n > countMost {
 			d.Strange++
 			continue
 		}
