--- a/internal/fleetlog/fleetlog_test.go
+++ b/internal/fleetlog/fleetlog_test.go
@@ -19,7 +19,7 @@
 	var b bytes.Buffer
 	log := slog.New(slog.NewTextHandler(&b, nil))
 	log.Info("ready", "name", "n", "endpoints", 3)
-	log.Warn("discovery: call over", "whole", false, "end", 2, "err", "status 503")
+	log.Warn("discovery: call over", "whole", false, "end", "refused", "err", "status 503")
 	log.Info("list", "revision", 7, "whole", true, "members", 3)
 	log.Info("policy", "says", "dest 4: seen failing, trial calls")
 	c := tally.New()
@@ -69,7 +69,7 @@
 	if d.From != 100 || d.To != 103 || fmt.Sprint(d.Dests) != "[4 9]" || len(d.Relays) != 3 || len(d.Starts) != 3 {
 		t.Errorf("from %d to %d, destinations %v, relays %v", d.From, d.To, d.Dests, d.Relays)
 	}
-	if d.Discovery["calls"] != 3 || d.Discovery["2"] != 3 || len(d.Lists) != 1 || d.Lists[0].Relays != 3 || d.Says["dest 4: seen failing, trial calls"] != 3 {
+	if d.Discovery["calls"] != 3 || d.Discovery["refused"] != 3 || len(d.Lists) != 1 || d.Lists[0].Relays != 3 || d.Says["dest 4: seen failing, trial calls"] != 3 {
 		t.Errorf("discovery %v, lists %v, says %v", d.Discovery, d.Lists, d.Says)
 	}
 }
--- a/internal/source/registry/registry.go
+++ b/internal/source/registry/registry.go
@@ -50,6 +50,10 @@
 	Foreign                // the version is not known there
 )
 
+func (e End) String() string {
+	return [...]string{"none", "served", "refused", "unheard", "garbled", "foreign"}[min(e, Foreign)]
+}
+
 // Follower is one relay's side of one registry.
 type Follower struct {
 	rng   *rand.Rand
