--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -866,3 +866,24 @@
 		}
 	}
 }
+
+// TestGoneRouteIsForgotten: one that was told a wait after it left, and does not come back, is kept for that wait
+// and no longer.
+func TestGoneRouteIsForgotten(t *testing.T) {
+	s := one()
+	s.Kinds[0].Apart = true
+	r := newRig(t, s, ready(1, 100))
+	r.step(r.message(0, 0))
+	told := answer(r.sends[0], Full)
+	told.Wait = 2 * second
+	gone := ready(1, 100)
+	gone.State = Gone
+	r.step(Event{Kind: EvList, List: ListChange, Entries: []Entry{gone}})
+	if r.step(told); len(r.p.eps) != 1 {
+		t.Error("forgotten within its wait")
+	}
+	r.now += 3 * second
+	if r.step(Event{Kind: EvTimer}); len(r.p.eps) != 0 {
+		t.Error("kept after its wait")
+	}
+}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -241,3 +241,34 @@
 		}
 	}
 }
+
+// TestLoweredLimit: a limit that falls to a fifth for 9 s, with the list still telling the old one, is found by
+// relays that are refused once in seconds; what is over it falls, and the limit is used again soon after.
+func TestLoweredLimit(t *testing.T) {
+	for n, most := range map[int]float64{80: 2, 300: 3} {
+		const rate, start = 90.0, 1000 * second
+		c := newCrowd(t, n, rate, 2)
+		total := func() (sent, taken float64) {
+			for i := range c.sent {
+				sent, taken = sent+float64(c.sent[i]), taken+float64(c.taken[i])
+			}
+			return sent, taken
+		}
+		c.play(start, 10*second, 0.8*rate)
+		c.rate = rate / 5
+		c.play(start+10*second, 5*second, 0.8*rate)
+		before, _ := total()
+		c.play(start+15*second, 4*second, 0.8*rate)
+		after, _ := total()
+		c.rate = rate
+		c.play(start+19*second, 6*second, 0.8*rate)
+		_, was := total()
+		c.play(start+25*second, 5*second, 0.8*rate)
+		_, taken := total()
+		over, used := (after-before)/(4*rate/5), (taken-was)/(5*rate)
+		t.Logf("%d relays: %.2f times the lowered limit after 5 s, %.2f of the restored one after 6 s", n, over, used)
+		if over > most || used < 0.6 {
+			t.Errorf("%d relays: %.2f times the lowered limit, %.2f of the restored one", n, over, used)
+		}
+	}
+}
