Clients are answered from the first moment; their time runs from sending

The relay had its address open for the 0.3 s in which it waits for discovery: the system took connections and requests, nobody read them, and the deadline was counted from the reading (clients.go parsePut with front.go's now at the command; loop.go list() between newClients and front.Run). d counts from when the client sent; 300 ms late is the rule's whole slack.

(1) A start takes its address at once, lets nobody in until all is there that an answer takes, and then serves on the list it knows. Calls and probes alone wait for discovery's first word, 0.3 s at most (core.Await). (2) A command is told with the moment from which it may have stood unread: in a listener's queue since that was seen empty, on a connection since it was noticed, across a hand-over since the freeze; never more than the 0.4 s that clients wait.

--- a/internal/core/carry.go
+++ b/internal/core/carry.go
@@ -62,6 +62,31 @@
 // for it.
 func (r *Core) Thaw(now decide.Time, fx []Effect) []Effect {
 	r.now, r.fx, r.ceding = max(now, r.now), fx, false
+	r.unshelve()
+	return r.done()
+}
+
+// Await has no call or probe begun until Begin: the list that is known may be
+// old, and what has drained since must not be sent to. Messages are taken on,
+// answered, logged and ended meanwhile as ever, since no client waits for calls.
+func (r *Core) Await() { r.awaiting = true }
+
+func (r *Core) begin() {
+	if !r.awaiting {
+		return
+	}
+	r.awaiting = false
+	r.unshelve()
+	for _, num := range r.probes {
+		if ep := r.byNum[num]; ep != nil && !ep.gone {
+			r.probe(ep)
+		}
+	}
+	r.probes = nil
+}
+
+// unshelve sends what was put off, oldest first.
+func (r *Core) unshelve() {
 	var put []*message
 	for _, m := range r.msgs {
 		if m.pending != nil && m.heard && !r.shelve(m) {
@@ -74,7 +99,6 @@
 		m.pending = nil
 		r.send(m, a)
 	}
-	return r.done()
 }
 
 // Carry shows what another core needs to go on in this one's place. No request
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -101,6 +101,7 @@
 	Probed                        // Endpoint, Result
 	Barred                        // Endpoint, Wait: its identity is not proved; 0 where it is again
 	Stop                          // the relay is to end
+	Begin                         // ends Await: the list was heard, or waited for long enough
 )
 
 // Event is one thing that happened.
@@ -240,7 +241,9 @@
 	tally     *tally.Tally
 	held      int
 	calls     int
-	ceding    bool // no new call is begun
+	ceding    bool              // no new call is begun
+	awaiting  bool              // likewise, since the list may be old
+	probes    []decide.Endpoint // asked for meanwhile
 	stopping  bool
 	stopAt    decide.Time
 	fx        []Effect
@@ -423,7 +426,7 @@
 // process will not be there for its end. The policy goes on to hold it to be
 // out; the next process takes the message up from the log.
 func (r *Core) shelve(m *message) bool {
-	if r.ceding {
+	if r.ceding || r.awaiting {
 		return true
 	}
 	if !r.stopping {
@@ -461,6 +464,8 @@
 			Outcome: e.Result.What, Took: e.Result.Took, Load: e.Result.Load})
 	case Barred:
 		r.events = append(r.events, decide.Event{Kind: decide.EvBarred, Endpoint: e.Endpoint, Wait: e.Wait})
+	case Begin:
+		r.begin()
 	case Stop:
 		if !r.stopping {
 			r.stopping, r.stopAt = true, r.now
@@ -779,9 +784,10 @@
 	case decide.ActTimer:
 		r.timers.add(now + a.After)
 	case decide.ActProbe:
-		if ep := r.byNum[a.Endpoint]; ep != nil && !ep.gone {
-			r.tally.Add(ep.cell, tally.Probed, 1)
-			r.do(Effect{Kind: Probe, Endpoint: a.Endpoint})
+		if r.awaiting {
+			r.probes = append(r.probes, a.Endpoint)
+		} else if ep := r.byNum[a.Endpoint]; ep != nil && !ep.gone {
+			r.probe(ep)
 		}
 	case decide.ActClose:
 		if ep := r.byNum[a.Endpoint]; ep != nil && ep.open {
@@ -792,6 +798,11 @@
 	}
 }
 
+func (r *Core) probe(ep *endpoint) {
+	r.tally.Add(ep.cell, tally.Probed, 1)
+	r.do(Effect{Kind: Probe, Endpoint: ep.num})
+}
+
 // notSent tells the policy of an attempt that never left, in the next step.
 func (r *Core) notSent(m *message, ep decide.Endpoint) {
 	r.later = append(r.later, Event{Kind: Unsent, Call: &Call{Rec: m.rec, m: m, ep: r.byNum[ep], attempt: m.tries - 1}})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -51,7 +51,11 @@
 	lingerMost = 256 << 10
 	tick       = 10 * time.Millisecond
 	frozenWait = 20 * time.Millisecond
-	busyMemory = 500 // ms after which one may come again whose command there was no memory for
+	// answerWait is how long a client waits for its answer. A request that has
+	// lain unread for longer is nobody's any more.
+	answerWait = 400 * time.Millisecond
+	backlog    = 4096 // connections that the system may keep for a listener; it takes its own bound where that is less
+	busyMemory = 500  // ms after which one may come again whose command there was no memory for
 )
 
 var errUnfinished = errors.New("command not finished in time")
@@ -68,7 +72,10 @@
 
 // Asked is a command.
 type Asked struct {
-	Args   [][]byte // hold until the handler returns
+	Args [][]byte // hold until the handler returns
+	// At is when the command came whole, or before: what lay in a queue that
+	// nobody looked at counts as having come when that queue was last seen empty.
+	// A client's time runs from when it sent, and not from when it was read.
 	At     time.Time
 	Ticket Ticket
 	// Refuse is set where the command has waited for its turn for so long that
@@ -94,7 +101,14 @@
 	// Listeners are used where they have an address that is wanted; the others
 	// are closed.
 	Listeners []net.Listener
-	Handle    func(*Asked) Reply // in the front's goroutine: it must not wait
+	// Unread is since when Listeners, and connections that are adopted, may have
+	// stood with nobody to read them; zero where that is not known.
+	Unread time.Time
+	// Shut has New take the addresses, and nobody come in until Open: the system
+	// takes connections, and what is sent on them, as soon as it is let, while
+	// nobody here can answer.
+	Shut   bool
+	Handle func(*Asked) Reply // in the front's goroutine: it must not wait
 }
 
 type mode uint8
@@ -121,7 +135,8 @@
 	mem      int32 // bytes of its commands
 	kept     int32 // of them, those of the request that waits
 	lingered int32
-	edge     int64 // when it became readable
+	edge     int64 // when it became readable, or was free to be served after that
+	came     int64 // when what is read now had come at the latest
 	rd       *resp.Reader
 	more     *extra
 }
@@ -158,6 +173,7 @@
 	each      float64 // µs from one connection's turn to the next one's, smoothed
 	lastRow   int64
 	listeners []*listener
+	shut      []shut
 	retry     int64 // when to knock again; 0 for not
 	stopped   bool
 	frozen    bool   // nothing is accepted, read or closed
@@ -176,6 +192,14 @@
 	queue    int  // an epoll set that tells whether somebody is in its queue
 	waiting  bool // somebody may be in its queue
 	isClosed bool
+	since    int64 // when its queue was seen to have somebody, after it was empty
+}
+
+// shut is an address that is taken, with nobody let in yet.
+type shut struct {
+	fd   int
+	slot int32
+	addr string
 }
 
 // asked reports whether somebody is in the queue, and leaves him there.
@@ -187,7 +211,7 @@
 
 // Close ends the listener; again is as well.
 func (l *listener) Close() error {
-	if l.isClosed {
+	if l == nil || l.isClosed {
 		return nil
 	}
 	l.isClosed, l.waiting = true, false
@@ -209,15 +233,19 @@
 	handed := o.Listeners
 	for i, addr := range addrs {
 		listen := func() error { return f.listen(int32(-1-i), addr) }
+		if o.Shut {
+			listen = func() error { return f.bind(int32(-1-i), addr) }
+		}
 		if at := slices.IndexFunc(handed, func(ln net.Listener) bool { return sameAddr(ln, addr) }); at >= 0 {
 			ln := handed[at]
 			handed = slices.Delete(handed, at, at+1)
-			listen = func() error { return f.adoptListener(int32(-1-i), ln) }
+			listen = func() error { return f.adoptListener(int32(-1-i), ln, f.unread()) }
 		}
 		if err := listen(); err != nil {
 			for _, l := range f.listeners {
 				l.Close()
 			}
+			f.unbind()
 			f.poll.close()
 			return nil, err
 		}
@@ -228,6 +256,14 @@
 	return f, nil
 }
 
+// unread is since when what is taken over may have stood unread.
+func (f *Front) unread() int64 {
+	if f.o.Unread.IsZero() {
+		return f.now() - answerWait.Microseconds()
+	}
+	return f.o.Unread.Sub(f.began).Microseconds()
+}
+
 // sameAddr reports whether a listener is one for an address.
 func sameAddr(ln net.Listener, addr string) bool {
 	a, err := net.ResolveTCPAddr("tcp", addr)
@@ -241,11 +277,79 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return f.adoptListener(slot, ln)
+	return f.adoptListener(slot, ln, f.now())
 }
 
-func (f *Front) adoptListener(slot int32, ln net.Listener) error {
-	l := &listener{Listener: ln, waiting: true}
+// bind takes an address, so that no other process can, and lets nobody in.
+func (f *Front) bind(slot int32, addr string) error {
+	at, err := net.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	family, sa := syscall.AF_INET6, syscall.Sockaddr(&syscall.SockaddrInet6{Port: at.Port})
+	if ip := at.IP.To4(); ip != nil {
+		family, sa = syscall.AF_INET, &syscall.SockaddrInet4{Port: at.Port, Addr: [4]byte(ip)}
+	} else if at.IP != nil {
+		if at.Zone != "" {
+			return f.listen(slot, addr) // of one link: opened at once, which does no harm but for a wait
+		}
+		sa = &syscall.SockaddrInet6{Port: at.Port, Addr: [16]byte(at.IP.To16())}
+	}
+	fd, err := syscall.Socket(family, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+	if err != nil && at.IP == nil { // all addresses, on a machine that has one family
+		sa = &syscall.SockaddrInet4{Port: at.Port}
+		fd, err = syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+	}
+	if err != nil {
+		return fmt.Errorf("listen: %s: %w", addr, os.NewSyscallError("socket", err))
+	}
+	err = os.NewSyscallError("setsockopt", syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1))
+	if at.IP == nil && err == nil && family == syscall.AF_INET6 {
+		syscall.SetsockoptInt(fd, syscall.IPPROTO_IPV6, syscall.IPV6_V6ONLY, 0)
+	}
+	if err == nil {
+		err = os.NewSyscallError("bind", syscall.Bind(fd, sa))
+	}
+	if err != nil {
+		syscall.Close(fd)
+		return fmt.Errorf("listen: %s: %w", addr, err)
+	}
+	f.shut = append(f.shut, shut{fd, slot, addr})
+	return nil
+}
+
+func (f *Front) unbind() {
+	for _, s := range f.shut {
+		syscall.Close(s.fd)
+	}
+	f.shut = nil
+}
+
+// Open lets clients come to the addresses of a front that was made shut, when
+// all is there that an answer takes. Run does so where it was not done before.
+func (f *Front) Open() error {
+	for len(f.shut) > 0 {
+		s := f.shut[0]
+		f.shut = f.shut[1:]
+		err := os.NewSyscallError("listen", syscall.Listen(s.fd, backlog))
+		if err != nil {
+			syscall.Close(s.fd)
+			return fmt.Errorf("listen: %s: %w", s.addr, err)
+		}
+		now := f.now()
+		ln, err := Listener(s.fd)
+		if err != nil {
+			return fmt.Errorf("listen: %s: %w", s.addr, err)
+		}
+		if err := f.adoptListener(s.slot, ln, now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Front) adoptListener(slot int32, ln net.Listener, since int64) error {
+	l := &listener{Listener: ln, waiting: true, since: since}
 	var err error
 	if l.queue, err = syscall.EpollCreate1(syscall.EPOLL_CLOEXEC); err != nil {
 		ln.Close()
@@ -272,7 +376,10 @@
 		l.Close()
 		return fmt.Errorf("listen: %s: %w", ln.Addr(), err)
 	}
-	f.listeners = append(f.listeners, l)
+	for len(f.listeners) <= int(-1-slot) {
+		f.listeners = append(f.listeners, nil)
+	}
+	f.listeners[-1-slot] = l
 	return nil
 }
 
@@ -336,6 +443,9 @@
 func (f *Front) Run() error {
 	defer close(f.done)
 	defer f.end()
+	if err := f.Open(); err != nil {
+		return err
+	}
 	var got []answer
 	busy, woken := false, false // something came in the last turn; this one is for answers alone
 	for {
@@ -427,6 +537,7 @@
 }
 
 func (f *Front) end() {
+	f.unbind()
 	for _, l := range f.listeners {
 		l.Close()
 	}
@@ -442,7 +553,9 @@
 
 func (f *Front) event(now int64, slot int32, events uint32) {
 	if slot < 0 {
-		f.listeners[-1-slot].waiting = !f.listeners[-1-slot].isClosed
+		if l := f.listeners[-1-slot]; !l.waiting {
+			l.waiting, l.since = !l.isClosed, now
+		}
 		return
 	}
 	c := f.conn(uint32(slot))
@@ -450,7 +563,7 @@
 		return
 	}
 	if events&(evIn|evGone) != 0 && !c.readable {
-		c.readable, c.edge = true, now
+		c.readable, c.edge, c.came = true, now, now
 	}
 	if events&evGone != 0 {
 		c.gone = true
@@ -614,7 +727,8 @@
 func (f *Front) command(slot uint32, c *conn, now int64) {
 	c.turn++
 	waited := now - c.edge
-	asked := Asked{Args: c.rd.Args(), At: f.began.Add(time.Duration(now) * time.Microsecond), Ticket: Ticket{slot, c.turn}}
+	came := max(c.came, now-answerWait.Microseconds())
+	asked := Asked{Args: c.rd.Args(), At: f.began.Add(time.Duration(came) * time.Microsecond), Ticket: Ticket{slot, c.turn}}
 	back, refuse := f.o.Limits.Refuse(waited, len(f.queue), int64(f.each))
 	asked.Refuse, asked.ComeBack = refuse, time.Duration(back)*time.Microsecond
 	reply := f.o.Handle(&asked)
@@ -800,7 +914,9 @@
 		f.noMemory(slot, c)
 		return
 	}
-	c.readable = true // whatever was told
+	if !c.readable { // whatever was told
+		c.readable, c.came = true, f.now()
+	}
 	if !f.read(slot, c) || c.fd <= 0 {
 		if c.fd > 0 {
 			f.drop(slot, c)
@@ -907,7 +1023,7 @@
 				syscall.Close(fd) // cheaply: a flood must leave time for the others
 				continue
 			}
-			f.enter(fd, now)
+			f.enter(fd, now, l.since)
 		}
 	}
 }
@@ -930,13 +1046,15 @@
 	return false
 }
 
-func (f *Front) enter(fd int, now int64) {
+// enter books a connection; what came on it did so after the listener's queue
+// was last seen empty.
+func (f *Front) enter(fd int, now, since int64) {
 	slot := uint32(f.book.Enter(now))
 	for int(slot) >= len(f.pages)*pageSize {
 		f.pages = append(f.pages, new([pageSize]conn))
 	}
 	c := f.conn(slot)
-	*c = conn{fd: int32(fd), turn: c.turn, queued: c.queued, readable: true, edge: now}
+	*c = conn{fd: int32(fd), turn: c.turn, queued: c.queued, readable: true, edge: now, came: since}
 	if err := f.poll.add(fd, int32(slot), evAll); err != nil {
 		f.o.Log.Warn("clients: watch", "err", err)
 		f.drop(slot, c)
--- a/internal/front/handover.go
+++ b/internal/front/handover.go
@@ -136,7 +136,7 @@
 			f.pages = append(f.pages, new([pageSize]conn))
 		}
 		c := f.conn(slot)
-		*c = conn{fd: int32(h.FD), readable: true, edge: now}
+		*c = conn{fd: int32(h.FD), readable: true, edge: now, came: f.unread()}
 		syscall.SetNonblock(h.FD, true)
 		if err := f.poll.add(h.FD, int32(slot), evAll); err != nil {
 			f.o.Log.Warn("clients: watch", "err", err)
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -39,13 +39,16 @@
 }
 
 const (
-	listPath    = "/registry/instances"
-	noticePath  = "/reports"
-	discSilence = 3500 * time.Millisecond // a watch says something every 2 s
-	discAnswer  = time.Second             // notices are answered at once, or the agent is down
-	listMost    = 4 << 20                 // bytes of a list or a line
+	listPath   = "/registry/instances"
+	noticePath = "/reports"
+	discAnswer = time.Second // notices are answered at once, or the agent is down
+	listMost   = 4 << 20     // bytes of a list or a line
 )
 
+// discSilence is after how long a watch is dead: it says something every 2 s.
+// Tests alone change it.
+var discSilence = 3500 * time.Millisecond
+
 // newPlainClient makes a client for the agent on this machine: few kept
 // connections, no proxy, no second protocol.
 func newPlainClient(conns int) *http.Client {
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -131,6 +131,39 @@
 	_ = c
 }
 
+// Clients wait for no list: while discovery is silent they are answered, and a
+// message's time runs. Calls wait for its first word, and go where that tells.
+func TestStartAnswersBeforeTheList(t *testing.T) {
+	old, new := newFakeEndpoint(t, nil), newFakeEndpoint(t, nil)
+	d := newFakeDiscovery(t)
+	d.set(func(d *fakeDiscovery) { d.mute = true })
+	gone := old.member("s-old", 1)
+	env := testConfig(t, d, 3, gone)
+	env[firstListEnv] = "1h"
+	startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	if s := cl.put("m", fields("plain", 20000, 1), nil); s != "+OK" {
+		t.Fatal(s)
+	}
+	if s := cl.put("short", fields("plain", 50, 1), nil); s != "+OK" {
+		t.Fatal(s)
+	}
+	waitFor(t, "the end of a message whose time is over", func() bool { n, ok := d.notice("short"); return ok && n.Outcome == core.HandedBack })
+	if old.count("m") > 0 {
+		t.Error("sent before the list was heard")
+	}
+	gone.Phase = core.Draining
+	line, err := json.Marshal(List{Revision: 9, Complete: true, Members: []core.Member{gone, new.member("s-new", 1)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.say(t, string(line))
+	waitFor(t, "the call", func() bool { return new.count("m") == 1 })
+	if old.count("m")+old.count("short") > 0 {
+		t.Error("sent to who has drained")
+	}
+}
+
 // Notices are sent until they are taken; one that cannot be read does not hold
 // up the others.
 func TestNotices(t *testing.T) {
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -27,10 +27,17 @@
 // childEnv makes the test's own program a relay, so that a test can kill one.
 const childEnv = "TROUTUSHER_TEST_CHILD"
 
+// firstListEnv is how long a child's first calls wait for discovery, and how
+// long a watch may be silent there.
+const firstListEnv = "TROUTUSHER_TEST_FIRST_LIST"
+
 func TestMain(m *testing.M) {
 	if os.Getenv(childEnv) == "" {
 		os.Exit(m.Run())
 	}
+	if d, err := time.ParseDuration(os.Getenv(firstListEnv)); err == nil {
+		firstList, discSilence = d, d
+	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	cfg, err := LoadConfig(os.Getenv)
 	if err != nil {
@@ -89,6 +96,7 @@
 	notices  map[string]notice
 	answer   int // status of notices
 	silent   bool
+	mute     bool     // a watch opens, and no empty line comes
 	busy     int      // calls that are still to be turned away
 	turned   []string // what they asked for
 	unheard  int      // requests that came while silent
@@ -150,7 +158,7 @@
 			return
 		case <-time.After(time.Second):
 			d.mu.Lock()
-			silent := d.silent
+			silent := d.silent || d.mute
 			d.mu.Unlock()
 			if !silent {
 				io.WriteString(w, "\n")
@@ -262,7 +270,7 @@
 }
 
 // testConfig writes a configuration and returns the environment that names it.
-func testConfig(t *testing.T, d *fakeDiscovery, diskMB int) map[string]string {
+func testConfig(t *testing.T, d *fakeDiscovery, diskMB int, known ...core.Member) map[string]string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0") // a free port; it is let go at once
 	if err != nil {
@@ -276,7 +284,15 @@
 		t.Fatal(err)
 	}
 	path := filepath.Join(dir, "config.json")
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","surplus":1,
+	list := ""
+	if len(known) > 0 {
+		text, err := json.Marshal(List{Revision: 1, Complete: true, Members: known})
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = `"known":` + string(text) + ","
+	}
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","surplus":1,`+list+`
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":%d},"settings":%s}`, listen, d.addr(), diskMB, testSettings)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -67,6 +67,9 @@
 type handed struct {
 	Core *core.Carried `json:"core"`
 	Mono int64         `json:"mono"` // µs of the system's monotonic clock at moment 0 of the core's
+	// Frozen is when, on the same clock, clients were last read; 0 where the
+	// process before does not tell.
+	Frozen int64 `json:"frozen,omitempty"`
 }
 
 // inheritance is what a process has from the one before.
@@ -470,6 +473,7 @@
 // is on its way to its endpoint, and the log is written.
 func (r *Relay) still(cl *clients) error {
 	quiet := make(chan struct{})
+	r.frozen = mono()
 	cl.front.Freeze(func() { close(quiet) })
 	isQuiet := func() bool {
 		select {
@@ -541,7 +545,7 @@
 		ids, fds = append(ids, k.Message), append(fds, fd)
 		return false
 	})
-	text, err := json.Marshal(handed{carried, mono() - r.now()})
+	text, err := json.Marshal(handed{carried, mono() - r.now(), r.frozen})
 	if err != nil {
 		return err
 	}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -21,10 +21,11 @@
 	"troutusher/internal/takeover/link"
 )
 
-const (
-	firstList  = 300 * time.Millisecond // how long the start waits for discovery: clients that come meanwhile give up after 400
-	clockStart = decide.Time(3600e6)    // of the core's clock: sends of an earlier process lie before it
-)
+const clockStart = decide.Time(3600e6) // of the core's clock: sends of an earlier process lie before it
+
+// firstList is how long the first calls wait for discovery; clients wait for
+// nothing. Tests alone change it.
+var firstList = 300 * time.Millisecond
 
 // happening is something that the loop is told.
 type happening struct {
@@ -58,6 +59,7 @@
 	taking    *taking
 	taker     takeover.Taker
 	lock      *stateLock
+	frozen    int64          // when the clients were last read, on the system's monotonic clock
 	passed    map[string]int // calls that the process before had out, by message
 	closeLog  func()
 	stop      <-chan struct{}
@@ -125,12 +127,14 @@
 	}
 	defer r.lock.close()
 	list := sync.OnceValue(r.firstList)
-	inherited, err := r.claim(func() { list() })
+	heard := false
+	inherited, err := r.claim(func() { list(); heard = true })
 	if err != nil {
 		return err
 	}
 	opt := cfg.frontOptions()
 	opt.Log = log
+	opt.Shut = true // until all is there that an answer takes
 	if inherited == nil {
 		inherited = &inheritance{}
 	}
@@ -144,6 +148,9 @@
 		opt.Listeners = append(opt.Listeners, ln)
 	}
 	inherited.listeners = nil
+	if inherited.Frozen > 0 {
+		opt.Unread = time.Now().Add(-time.Duration(max(mono()-inherited.Frozen, 0)) * time.Microsecond)
+	}
 	// Before the log is touched: who has the address may be a relay that knows
 	// of no lock.
 	cl, err := newClients(cfg, opt, func(q *request) { r.tell(core.Event{Kind: core.Put, Request: &q.Request}) },
@@ -166,17 +173,25 @@
 	r.notices.start(ctx)
 	defer func() { r.notices.halt() }()
 
-	known := list()
 	if inherited.Core == nil {
-		r.book(known)
+		if heard || cfg.Known == nil { // without any list there is nothing to serve on, and nobody is let in
+			r.book(list())
+		} else {
+			r.book(r.knownList())
+			r.core.Await()
+			go r.awaitList()
+		}
 		r.carryOut(r.core.Restore(r.now(), owed, nil, 0, r.effects[:0]))
 	} else {
 		r.carryOut(r.core.Restore(r.now(), owed, inherited.Core, inherited.Mono-(mono()-r.now()), r.effects[:0]))
-		r.book(known)
+		r.book(list())
 	}
 	r.step()
 	kept := cl.front.Adopt(inherited.conns)
 	inherited.conns = nil
+	if err := cl.front.Open(); err != nil {
+		return err
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- cl.front.Run() }()
 	defer cl.front.Close()
@@ -224,15 +239,38 @@
 	r.carryOut(r.core.Book(r.now(), events, r.effects[:0]))
 }
 
-// firstList waits a while for discovery's first word: the list in the
+// knownList is the list in the configuration.
+func (r *Relay) knownList() (lists []core.Event) {
+	if r.cfg.Known != nil {
+		lists = append(lists, core.Event{Kind: core.News, List: r.cfg.Known, News: decide.ListCached})
+	}
+	return lists
+}
+
+// awaitList waits a while for discovery's first word: the list in the
 // configuration may be old, and an endpoint that drained since must not be sent
 // to. Where discovery is silent, or turns the relay away, the old one has to do.
-func (r *Relay) firstList() (lists []core.Event) {
+// Calls alone wait for it. Clients are served meanwhile: they give up after
+// 0.4 s, and count their messages' time from when they sent them.
+func (r *Relay) awaitList() {
 	limit := time.NewTimer(firstList)
 	defer limit.Stop()
-	if r.cfg.Known != nil {
-		lists = append(lists, core.Event{Kind: core.News, List: r.cfg.Known, News: decide.ListCached})
+	select {
+	case <-r.discovery.first: // what it said of the list came before
+	case <-limit.C:
+		r.log.Warn("discovery is silent: the list that is known is used")
+	case <-r.ctx.Done():
+		return
 	}
+	r.tell(core.Event{Kind: core.Begin})
+}
+
+// firstList is the same for a process that is to take over from another one,
+// which serves meanwhile.
+func (r *Relay) firstList() (lists []core.Event) {
+	limit := time.NewTimer(firstList)
+	defer limit.Stop()
+	lists = r.knownList()
 	first := r.discovery.first
 	if r.cfg.Known == nil {
 		first = nil // without any list there is nothing to serve on
