fleet report follows one message, and says what became of each that was taken on

The logs told of single attempts and of ends, not of what was taken on or delivered, so a message with no end could not be seen in them at all.

A relay's log has two more lines for a message, at its hand-in (with the time it has left and how long it may have stood unread) and at its delivery, for 100 messages a second at most ([stories] per_second); a line as the platform has taken a notice; and `ready` says whether a log of messages was found.

--- a/cmd/troutusher-kit/fleet.go
+++ b/cmd/troutusher-kit/fleet.go
@@ -16,12 +16,28 @@
 }
 
 type fleetReport struct {
-	Dir  string `arg:"" help:"Folder with a file NAME.log for each relay: what it wrote to standard error."`
-	Dest *int   `help:"Show the seconds of this destination, not of all."`
-	HTML string `name:"html" placeholder:"FILE" help:"Write a page with plots as well. It needs nothing else to be looked at."`
+	Dir     string `arg:"" help:"Folder with a file NAME.log for each relay: what it wrote to standard error."`
+	Dest    *int   `help:"Show the seconds of this destination, not of all."`
+	Message string `xor:"what" placeholder:"ID" help:"Print what all logs tell of this one message, in order of time, instead."`
+	Ends    bool   `xor:"what" help:"Print what became of the messages that were taken on, by cause, instead."`
+	HTML    string `name:"html" placeholder:"FILE" help:"Write a page with plots as well. It needs nothing else to be looked at."`
 }
 
 func (c *fleetReport) Run(out io.Writer) error {
+	switch dir := os.DirFS(c.Dir); {
+	case c.Message != "":
+		s, err := fleetlog.Follow(dir, c.Dir, c.Message)
+		if err != nil {
+			return err
+		}
+		return s.WriteText(out)
+	case c.Ends:
+		e, err := fleetlog.ReadEnds(dir, c.Dir)
+		if err != nil {
+			return err
+		}
+		return e.WriteText(out)
+	}
 	day, err := fleetlog.Read(os.DirFS(c.Dir), c.Dir)
 	if err != nil {
 		return err
--- a/cmd/troutusher-kit/kit_test.go
+++ b/cmd/troutusher-kit/kit_test.go
@@ -90,11 +90,19 @@
 	}
 	cut := write(t, "cut", string(text[:len(text)/2]))
 	newer := write(t, "newer", strings.Replace(string(text), `"version":1`, `"version":7`, 1))
+	logs := filepath.Dir(write(t, "n1.log", "time=2026-05-01T18:00:00Z level=INFO msg=ready log=none\n"+
+		"time=2026-05-01T18:00:01Z level=INFO msg=taken message=m1 left_ms=900\ntime=2026-05-01T18:00:09Z level=INFO msg=tally second=9\n"))
 	for _, c := range []struct {
 		args []string
 		code int
 		says string
 	}{
+		{[]string{"fleet", "report", logs, "--message", "m1"}, 0, "+0.000 s  n1  taken    left_ms=900"},
+		{[]string{"fleet", "report", logs, "--ends"}, 0, "1         !  no end, though its relay went on past its time"},
+		{[]string{"fleet", "report", logs, "--message", "m2"}, 1, "m2: no log names this message"},
+		{[]string{"fleet", "report", logs + "/none", "--ends"}, 1, "no readable log"},
+		{[]string{"fleet", "report", logs, "--ends", "--message", "m1"}, 2, "can't be used together"},
+		{[]string{"fleet", "report"}, 2, "expected \"<dir>\""},
 		{[]string{"-h"}, 0, "usage: troutusher "},
 		{[]string{"rehearse", "-h"}, 0, "usage: troutusher rehearse [flags] [SCENARIO]"},
 		{[]string{"put", "--help"}, 0, "usage: troutusher put"},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,6 +17,7 @@
 	"slices"
 
 	"troutusher/decide"
+	"troutusher/internal/story"
 	"troutusher/internal/tally"
 )
 
@@ -41,6 +42,8 @@
 	Kinds   map[string]int
 	Classes map[string]int
 	Tenants map[string]int
+	// Stories is how many messages a second the log tells of from their hand-in on.
+	Stories int
 	// Opening is what a connection to a destination of a flavour takes there,
 	// in calls; nil where that costs nothing anywhere. It must not change.
 	Opening func(dest int, flavor string) float64
@@ -51,7 +54,8 @@
 	Rec    *Record
 	Class  int
 	Tenant int
-	Handle any // the driver's
+	Waited decide.Time // how long it may have stood unread; its deadline counts from before
+	Handle any         // the driver's
 }
 
 // Call is one attempt of a message. The driver makes it once it is logged.
@@ -179,6 +183,7 @@
 	logged  bool     // the log has it, or will
 	over    bool     // the policy has ended it, or was told so
 	tries   int
+	told    bool           // the log tells of it from its hand-in on
 	pending *decide.Action // a send that waits for the client to have heard
 	ending  *Record        // its end, likewise
 	call    *Call
@@ -239,6 +244,7 @@
 	timers    timers
 	ends      []Ends // of each class
 	tally     *tally.Tally
+	stories   *story.Budget
 	held      int
 	calls     int
 	ceding    bool              // no new call is begun
@@ -257,7 +263,7 @@
 	}
 	return &Core{set: s, policy: policy, msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*Request]*message{},
 		byID: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, named: map[int]bool{}, waits: map[int]decide.Time{},
-		ends: make([]Ends, len(s.Policy.Classes)), tally: tally.New()}, nil
+		ends: make([]Ends, len(s.Policy.Classes)), tally: tally.New(), stories: story.NewBudget(s.Stories)}, nil
 }
 
 // Ends are how many messages of a class ended in each way: delivered; refused
@@ -377,7 +383,7 @@
 	}
 	for _, rec := range owed {
 		m := r.newMessage(rec)
-		m.heard, m.logged, m.tries = true, true, rec.Tries
+		m.heard, m.logged, m.tries, m.told = true, true, rec.Tries, true
 		if rec.Notice != "" {
 			m.over = true
 			r.drop(m)
@@ -408,7 +414,7 @@
 		}
 		r.events = append(r.events, e)
 		r.tally.Add(rec.Dest, tally.Resumed, 1)
-		r.tell(slog.LevelInfo, "resumed", "message", rec.ID, "class", rec.Class, "tries", rec.Tries,
+		r.tell(slog.LevelInfo, story.Resumed, "message", rec.ID, "class", rec.Class, "tries", rec.Tries,
 			"may_have_run", rec.Doubt != 0, "left_ms", e.Left/1000)
 	}
 	return r.done()
@@ -469,7 +475,7 @@
 	case Stop:
 		if !r.stopping {
 			r.stopping, r.stopAt = true, r.now
-			r.tell(slog.LevelInfo, "stopping", "held", r.held, "calls", r.calls)
+			r.tell(slog.LevelInfo, story.Stopping, "held", r.held, "calls", r.calls)
 		}
 	}
 }
@@ -506,6 +512,9 @@
 	}
 	m := r.newMessage(q.Rec)
 	m.req = q
+	if m.told = r.stories.Take(r.wall(r.now)); !m.told {
+		r.tally.Add(q.Rec.Dest, tally.Untold, 1)
+	}
 	r.waiting[q] = m
 	r.events = append(r.events, decide.Event{Kind: decide.EvMessage, Message: m.num, Class: q.Class,
 		Dest: q.Rec.Dest, Tenant: q.Tenant, Left: r.fromWall(q.Rec.Deadline) - r.now})
@@ -540,10 +549,12 @@
 	}
 	delete(r.waiting, q)
 	if !ok {
+		r.story(m, story.Withdrawn, "waited_ms", q.Waited/1000, "answer_ms", (r.now-m.since)/1000)
 		r.withdraw(m)
 		return
 	}
 	m.heard = true
+	r.story(m, story.Taken, "left_ms", r.left(m), "waited_ms", q.Waited/1000, "answer_ms", (r.now-m.since)/1000)
 	if a := m.pending; a != nil && !r.shelve(m) {
 		m.pending = nil
 		r.send(m, a)
@@ -554,6 +565,16 @@
 	}
 }
 
+// left is how much time a message has, in ms.
+func (r *Core) left(m *message) int64 { return (r.fromWall(m.rec.Deadline) - r.now) / 1000 }
+
+// story tells the log one thing of a message that it tells of.
+func (r *Core) story(m *message, line string, args ...any) {
+	if m.told {
+		r.tell(slog.LevelInfo, line, append([]any{"message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "tries", m.tries}, args...)...)
+	}
+}
+
 // withdraw: nobody wants the message any more, and nobody was told it is ours.
 func (r *Core) withdraw(m *message) {
 	if m.logged {
@@ -734,12 +755,13 @@
 		} else {
 			r.answer(q, Reply{Fault: errors.New("given up")})
 		}
+		r.story(m, story.Refused, "outcome", word, "why", a.Why.String(), "left_ms", r.left(m), "waited_ms", q.Waited/1000)
 		r.drop(m)
 		return
 	}
 	r.drop(m)
-	r.tell(slog.LevelInfo, "ended", "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "outcome", word, "why", a.Why.String(), "tries", m.tries,
-		"left_ms", (r.fromWall(m.rec.Deadline)-r.now)/1000)
+	r.tell(slog.LevelInfo, story.Ended, "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "outcome", word, "why", a.Why.String(), "tries", m.tries,
+		"left_ms", r.left(m))
 	if !m.heard {
 		m.ending = &Record{Notice: word, RetryMS: ms}
 		return
@@ -888,7 +910,7 @@
 		r.do(Effect{Kind: CloseIdle, Endpoint: c.ep.num})
 	}
 	if o.What != decide.Delivered {
-		r.tell(slog.LevelInfo, "attempt", "message", m.rec.ID, "dest", m.rec.Dest, "class", m.rec.Class, "endpoint", e.Endpoint,
+		r.tell(slog.LevelInfo, story.Attempt, "message", m.rec.ID, "dest", m.rec.Dest, "class", m.rec.Class, "endpoint", e.Endpoint,
 			"attempt", c.attempt, "outcome", int(o.What), "status", o.Status, "took_ms", o.Took/1000, "err", o.Err)
 	}
 	switch {
@@ -900,6 +922,7 @@
 	if o.Settled && !m.over {
 		if o.What == decide.Delivered {
 			r.count(m.rec.Class, answered)
+			r.story(m, story.Delivered, "endpoint", e.Endpoint, "took_ms", o.Took/1000, "left_ms", r.left(m))
 		}
 		m.over = true
 		r.drop(m)
--- /dev/null
+++ b/internal/core/herd_test.go
@@ -0,0 +1,479 @@
+package core
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"troutusher/decide"
+)
+
+// herd plays one relay that is killed again and again, also before it has taken
+// up what it held, with clients, endpoints, a log and a platform round it, on one
+// clock. A kill comes between any two writes. It knows what every client was
+// told, what ran where, and what the platform was told, and holds that against
+// what is owed.
+type herd struct {
+	t     *testing.T
+	seed  uint64
+	rng   *rand.Rand
+	now   int64 // µs; of the machine, not of the core
+	due   moments
+	trace strings.Builder
+
+	core    *Core // nil while it is down
+	process int   // of how many; what was begun for an earlier one is gone
+	base    int64 // machine time at moment 0 of the core's clock
+	events  []Event
+	log     *book
+	members []Member
+	shut    map[decide.Endpoint]bool
+	rev     int
+
+	msgs      map[string]*owedMessage
+	downs     [][2]int64 // from a kill to the next start
+	kills     int
+	killAfter int // writes until the next kill; <0 for none
+}
+
+type owedMessage struct {
+	class      string
+	sent, due  int64 // by the client
+	heard      bool  // the client has +OK, in its time
+	left       bool  // it gave up before
+	resumed    bool  // an earlier process had it in its log
+	refused    bool
+	ran        int     // how often its effect took place
+	lastRan    int64   // when, first
+	ended      []int64 // by a 200 or a notice that was taken
+	backs      int     // of them, notices of handed_back
+	told       map[string]bool
+	out        int // calls at endpoints now
+	mostOut    int
+	sentLate   bool
+	unanswered bool // its relay died under it
+}
+
+type moment struct {
+	at  int64
+	n   int
+	run func()
+}
+
+type moments []moment
+
+func (m moments) Len() int { return len(m) }
+func (m moments) Less(i, j int) bool {
+	return m[i].at < m[j].at || m[i].at == m[j].at && m[i].n < m[j].n
+}
+func (m moments) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
+func (m *moments) Push(x any)   { *m = append(*m, x.(moment)) }
+func (m *moments) Pop() any {
+	x := (*m)[len(*m)-1]
+	*m = (*m)[:len(*m)-1]
+	return x
+}
+
+const (
+	clientWait  = 400e3
+	noticeSlack = 300e3
+	readySlack  = 1500e3
+	dedupWindow = 20e6
+)
+
+func (h *herd) after(us int64, run func()) {
+	heap.Push(&h.due, moment{h.now + us, len(h.due) + int(h.now%7)<<20, run})
+}
+
+// here is after, for as long as the process lives.
+func (h *herd) here(us int64, run func()) {
+	p := h.process
+	h.after(us, func() {
+		if h.core != nil && h.process == p {
+			run()
+		}
+	})
+}
+
+func (h *herd) failf(format string, a ...any) {
+	h.t.Helper()
+	text := h.trace.String()
+	h.t.Fatalf("seed %d: "+format+"\n%s", append(append([]any{h.seed}, a...), text[max(0, len(text)-6000):])...)
+}
+
+func (h *herd) note(format string, a ...any) {
+	fmt.Fprintf(&h.trace, "%.3f ", float64(h.now)/1e6)
+	fmt.Fprintf(&h.trace, format+"\n", a...)
+}
+
+func (h *herd) clock() decide.Time { return h.now - h.base }
+
+// write is a point at which a kill may come; false where it did.
+func (h *herd) write() bool {
+	if h.killAfter >= 0 {
+		if h.killAfter--; h.killAfter < 0 {
+			h.kill()
+			return false
+		}
+	}
+	return true
+}
+
+func (h *herd) kill() {
+	h.note("killed")
+	h.kills++
+	h.core, h.events = nil, nil
+	h.downs = append(h.downs, [2]int64{h.now, 1 << 62})
+	for _, m := range h.msgs {
+		if !m.heard && !m.refused && !m.left {
+			m.unanswered = true
+		}
+	}
+	h.after(int64(600e3+h.rng.IntN(200e3)), h.start)
+}
+
+// start is a new process on the same folder: it may be killed before it serves.
+func (h *herd) start() {
+	h.process++
+	h.base = h.now - 3600e6
+	set := testCore(h.t).set
+	set.Seed, set.Epoch = h.rng.Uint64(), h.base
+	set.Policy.Slots, set.Policy.MaxAttempts = 6, 3
+	next, err := New(set)
+	if err != nil {
+		h.failf("%v", err)
+	}
+	h.killAfter = -1
+	if h.rng.IntN(4) == 0 { // again before it has resumed
+		h.killAfter = h.rng.IntN(8)
+	}
+	h.core, h.shut = next, map[decide.Endpoint]bool{}
+	h.note("started, owed %d", len(h.log.live))
+	var owed []*Record
+	for _, id := range h.log.order {
+		if r := h.log.live[id]; r != nil {
+			c := *r
+			c.Settle()
+			h.msgs[id].resumed = true
+			owed = append(owed, &c)
+		}
+	}
+	known := h.list()
+	if h.rng.IntN(3) == 0 { // the list is old
+		known.Members = slices.Clone(known.Members)
+		for i := range known.Members {
+			known.Members[i].Phase = Up
+		}
+	}
+	if !h.do(next.Book(h.clock(), []Event{{Kind: News, List: known, News: decide.ListCached}}, nil)) {
+		return
+	}
+	next.Await()
+	if !h.do(next.Restore(h.clock(), owed, nil, 0, nil)) {
+		return
+	}
+	if !h.step() {
+		return
+	}
+	h.downs[len(h.downs)-1][1] = h.now // it serves
+	switch h.rng.IntN(3) {
+	case 0: // silent, or refuses
+		h.here(300e3, func() { h.events = append(h.events, Event{Kind: Begin}) })
+	default:
+		h.here(int64(h.rng.IntN(300e3)), func() {
+			h.events = append(h.events, Event{Kind: News, List: h.list(), News: decide.ListFull}, Event{Kind: Begin})
+		})
+	}
+	if h.rng.IntN(5) > 0 {
+		h.here(int64(h.rng.IntN(3e6)), func() { h.killAfter = h.rng.IntN(12) })
+	}
+}
+
+func (h *herd) list() *List {
+	l := &List{Complete: true, Revision: int64(h.rev)}
+	for i := range h.members {
+		if h.members[i].Phase != Removed {
+			l.Members = append(l.Members, h.members[i])
+		}
+	}
+	return l
+}
+
+// step is one turn of the loop; false where the process died in it.
+func (h *herd) step() bool {
+	if h.core == nil {
+		return false
+	}
+	events := h.events
+	h.events = nil
+	return h.do(h.core.Step(h.clock(), events, nil))
+}
+
+// do carries effects out in their order, as the drivers do.
+func (h *herd) do(fx []Effect) bool {
+	for i := range fx {
+		e := &fx[i]
+		if e.Kind == Tell || e.Kind == Again {
+			continue
+		}
+		if e.Record != nil {
+			if !h.write() { // before the record
+				return false
+			}
+			if e.Kind == LogThenAnswer && h.rng.IntN(60) == 0 { // no room
+				h.events = append(h.events, Event{Kind: Lost, Request: e.Request})
+				continue
+			}
+			h.log.apply(e.Record)
+			if !h.write() { // after it
+				return false
+			}
+		}
+		switch e.Kind {
+		case Answer:
+			m := h.msgs[e.Request.Rec.ID]
+			if e.Reply.OK {
+				h.heard(m, e.Request)
+			} else {
+				m.refused = true
+			}
+		case Open, Shut:
+			h.shut[e.Endpoint] = e.Kind == Shut
+		case LogThenAnswer:
+			h.heard(h.msgs[e.Request.Rec.ID], e.Request)
+		case LogThenSend:
+			h.call(e.Call)
+		case LogThenNotice, Notify:
+			h.notice(e.Notice)
+		}
+		if h.core == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// heard: the answer is on its way to a client that reads now, slowly, or has
+// given up.
+func (h *herd) heard(m *owedMessage, q *Request) {
+	wait := int64(0)
+	if h.rng.IntN(6) == 0 {
+		wait = int64(h.rng.IntN(500e3))
+	}
+	if at := h.now + wait; at-m.sent >= clientWait {
+		h.here(max(m.sent+clientWait-h.now, 0), func() {
+			m.left = true
+			h.events = append(h.events, Event{Kind: Said, Request: q, OK: false})
+		})
+		return
+	}
+	tell := func() {
+		m.heard = true
+		h.events = append(h.events, Event{Kind: Said, Request: q, OK: true})
+	}
+	if wait == 0 {
+		tell()
+	} else {
+		h.here(wait, tell)
+	}
+}
+
+// call plays an endpoint, which goes on where the relay dies.
+func (h *herd) call(c *Call) {
+	m := h.msgs[c.Rec.ID]
+	ep := h.core.byNum[c.Endpoint]
+	if !m.heard && !m.resumed || h.core.awaiting {
+		h.failf("%s is sent before its client heard, or before the list", c.Rec.ID)
+	}
+	if h.shut[c.Endpoint] || ep.cell != c.Rec.Dest {
+		h.failf("%s for %d is sent to %s of %d", c.Rec.ID, c.Rec.Dest, ep.id, ep.cell)
+	}
+	if rec := h.log.live[c.Rec.ID]; rec == nil || rec.Out == 0 {
+		h.failf("%s is sent before the log has the attempt", c.Rec.ID)
+	}
+	if len(m.told) > 0 {
+		h.failf("%s is sent after the platform was told %v", c.Rec.ID, m.told)
+	}
+	if m.ran > 0 && (m.class == "once" || m.class == "keyed" && h.now-m.lastRan > dedupWindow) {
+		h.failf("%s (%s) is sent again after it ran", c.Rec.ID, m.class)
+	}
+	took := int64(20e3 + h.rng.IntN(200e3))
+	run := func() {
+		if m.ran++; m.ran == 1 {
+			m.lastRan = h.now
+		}
+	}
+	end := func(r *Result) {
+		h.here(took, func() { r.Took = took; h.events = append(h.events, Event{Kind: Finished, Call: c, Result: r}) })
+	}
+	switch k := h.rng.IntN(10); {
+	case k < 5: // the 200 is an end as it is written to a relay that lives
+		h.after(took/2, run)
+		h.here(took, func() {
+			m.ended = append(m.ended, h.now)
+			h.events = append(h.events, Event{Kind: Finished, Call: c, Result: &Result{What: decide.Delivered, Status: 200, Settled: true, Took: took}})
+		})
+	case k == 5:
+		end(&Result{What: decide.Full, Status: 429, Wait: decide.Time(h.rng.IntN(500e3))})
+	case k == 6:
+		end(&Result{What: decide.NoConnect})
+	case k == 7:
+		end(&Result{What: decide.Full, Status: 503})
+	case k == 8: // it ran, and nobody heard
+		h.after(took/2, run)
+		end(&Result{What: decide.Reset})
+	default: // silent until the relay stops waiting
+		if h.rng.IntN(2) == 0 {
+			h.after(took/2, run)
+		}
+		took = int64(c.Limit)
+		end(&Result{What: decide.TimedOut})
+	}
+}
+
+func (h *herd) notice(n Notice) {
+	if rec := h.log.live[n.Message]; rec == nil || rec.Notice != n.Outcome {
+		h.failf("the notice of %s goes out before the log has it", n.Message)
+	}
+	h.here(int64(h.rng.IntN(80e3)), func() { // the platform takes it
+		m := h.msgs[n.Message]
+		m.ended = append(m.ended, h.now)
+		m.told[n.Outcome] = true
+		if n.Outcome == HandedBack && m.class == "once" && m.ran > 0 {
+			h.failf("%s is handed back, and ran", n.Message)
+		}
+		if !h.write() {
+			return
+		}
+		h.log.apply(&Record{Kind: End, ID: n.Message})
+	})
+}
+
+// client hands one message in, where somebody listens.
+func (h *herd) client(i int) {
+	if h.core == nil || h.downs[len(h.downs)-1][1] == 1<<62 {
+		return
+	}
+	id := "m" + strconv.Itoa(i)
+	class := []string{"plain", "plain", "keyed", "once"}[h.rng.IntN(4)]
+	d := int64(200e3 + h.rng.IntN(9e6))
+	m := &owedMessage{class: class, sent: h.now, due: h.now + d, told: map[string]bool{}}
+	h.msgs[id] = m
+	waited := int64(0)
+	if h.rng.IntN(4) == 0 { // its turn comes late
+		waited = int64(h.rng.IntN(250e3))
+	}
+	h.here(waited, func() {
+		rec := &Record{Kind: Taken, ID: id, Class: class, Tenant: "acme", Dest: 1 + h.rng.IntN(4), Deadline: m.due}
+		if class == "keyed" {
+			rec.Key = "k" + id
+		}
+		h.events = append(h.events, Event{Kind: Put, Request: &Request{Rec: rec, Waited: waited,
+			Class: map[string]int{"plain": 0, "keyed": 1, "once": 2}[class]}})
+	})
+}
+
+// late is by how much an end came after it was owed.
+func (h *herd) late(m *owedMessage, at int64) int64 {
+	by := m.due + noticeSlack
+	for _, d := range h.downs {
+		if d[0] <= by && d[1]+readySlack > by { // from a kill until 1.5 s after the relay is ready again no notice is overdue
+			by = d[1] + readySlack
+		}
+	}
+	return at - by
+}
+
+func playHerd(t *testing.T, seed uint64) (h *herd, taken int) {
+	h = &herd{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 39)), log: &book{live: map[string]*Record{}}, msgs: map[string]*owedMessage{}, killAfter: -1}
+	h.now = 1e15
+	for i := range 6 {
+		h.members = append(h.members, Member{ID: fmt.Sprintf("s%d", i), HostPort: fmt.Sprintf("10.0.0.%d:1", i), Locality: "a", Flavor: "k", Cell: 1 + i%3, Phase: Up, Size: 40})
+	}
+	h.downs = [][2]int64{{h.now, 1 << 62}}
+	h.start()
+	const clients, day = 260, 12e6
+	for i := range clients {
+		h.after(int64(h.rng.IntN(day)), func() { h.client(i) })
+	}
+	for range 4 {
+		h.after(int64(h.rng.IntN(day)), func() { // discovery's news
+			h.rev++
+			x := &h.members[h.rng.IntN(len(h.members))]
+			x.Phase = []string{Up, Draining, Removed}[h.rng.IntN(3)]
+			if h.core != nil && h.downs[len(h.downs)-1][1] < 1<<62 && !h.core.awaiting {
+				h.events = append(h.events, Event{Kind: News, News: decide.ListChange, List: &List{Members: []Member{*x}}})
+			}
+		})
+	}
+	over := h.now + day + 16e6
+	for h.now < over {
+		pause := int64(2e3)
+		if h.rng.IntN(300) == 0 { // nobody gave it the core
+			pause = int64(h.rng.IntN(120e3))
+		}
+		until := h.now + pause
+		for len(h.due) > 0 && h.due[0].at <= until {
+			x := heap.Pop(&h.due).(moment)
+			h.now = max(h.now, x.at)
+			x.run()
+		}
+		h.now = until
+		if h.now > over-12e6 {
+			h.killAfter = -1
+		}
+		if h.core != nil && (len(h.events) > 0 || h.core.Next() > 0 && h.core.Next() <= h.clock()) {
+			h.step()
+		}
+	}
+	for id, m := range h.msgs {
+		switch {
+		case !m.heard && m.told[HandedBack]: // it was in the log, and nobody had heard
+		case !m.heard:
+			continue
+		}
+		taken++
+		if len(m.ended) == 0 {
+			h.failf("%s (%s) was taken on and has no end", id, m.class)
+		}
+		if l := h.late(m, m.ended[0]); l > 0 && m.heard {
+			h.failf("%s (%s, sent at %.3f, due at %.3f) ended %d ms too late", id, m.class, float64(m.sent)/1e6, float64(m.due)/1e6, l/1000)
+		}
+		if m.class == "once" && m.ran > 1 {
+			h.failf("%s ran %d times", id, m.ran)
+		}
+		if len(m.told) > 1 {
+			h.failf("%s has two ends: %v", id, m.told)
+		}
+	}
+	if len(h.log.live) > 0 {
+		h.failf("%d messages are left in the log", len(h.log.live))
+	}
+	if c := h.core; c == nil || c.Held()+c.Waiting()+c.Calls()+len(c.msgs)+len(c.ids) > 0 {
+		h.failf("at the end of the day something is held: %d messages, %d requests, %d calls", c.Held(), c.Waiting(), c.Calls())
+	}
+	return h, taken
+}
+
+// Every request that was taken on is ended once, whole and in time, whenever its
+// relay dies and starts again, and as late as clients, turns and lists may be.
+func TestHerdOwesEveryEnd(t *testing.T) {
+	seeds := uint64(150)
+	if n, err := strconv.ParseUint(os.Getenv("HERD_SEEDS"), 10, 32); err == nil {
+		seeds = n
+	}
+	kills, taken := 0, 0
+	for seed := range seeds {
+		h, n := playHerd(t, seed)
+		kills, taken = kills+h.kills, taken+n
+	}
+	if kills < int(seeds) || taken < 50*int(seeds) {
+		t.Errorf("only %d kills, %d messages taken on", kills, taken)
+	}
+	t.Logf("%d days, %d kills, %d messages taken on", seeds, kills, taken)
+}
--- a/internal/fleetlog/fleetlog.go
+++ b/internal/fleetlog/fleetlog.go
@@ -18,8 +18,6 @@
 	"strings"
 	"time"
 
-	"github.com/go-logfmt/logfmt"
-
 	"troutusher/internal/tally"
 )
 
@@ -192,29 +190,13 @@
 	}
 }
 
-// take reads one line and reports whether it is one of a relay's log. What
-// stands before its time, as some collectors put it there, is left out.
+// take reads one line and reports whether it is one of a relay's log.
 func (d *Day) take(relay string, text []byte, lists map[int64]*List, said map[string]bool, heard map[int64]bool) bool {
-	at := bytes.Index(text, []byte("time="))
-	if at < 0 {
-		return false
-	}
-	dec := logfmt.NewDecoder(bytes.NewReader(text[at:]))
-	if !dec.ScanRecord() {
-		return false
-	}
-	fields, order := map[string]string{}, []string{}
-	for dec.ScanKeyval() {
-		k := string(dec.Key())
-		if _, ok := fields[k]; !ok {
-			order = append(order, k)
-		}
-		fields[k] = string(dec.Value())
-	}
-	when, err := time.Parse(time.RFC3339, fields["time"])
-	if dec.Err() != nil || err != nil || fields["msg"] == "" || fields["level"] == "" {
+	e, ok := parse(text)
+	if !ok {
 		return false
 	}
+	when, fields, order := e.when, e.fields, e.order
 	switch fields["msg"] {
 	case "tally":
 		d.count(relay, fields, order)
--- /dev/null
+++ b/internal/fleetlog/stories.go
@@ -0,0 +1,494 @@
+package fleetlog
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"maps"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+
+	"troutusher/internal/story"
+)
+
+const (
+	followMost = 4 << 20                // messages that are followed; the others are counted
+	noticeTime = 300 * time.Millisecond // after a message's time a notice is late
+	nearRelay  = 2 * time.Second        // round a story, what its relays did otherwise
+)
+
+// entry is one line of a relay's log that could be read.
+type entry struct {
+	when   time.Time
+	text   string // msg
+	fields map[string]string
+	order  []string
+}
+
+// parse reads a line of a relay's log. What stands before its time, as some
+// collectors put it there, is left out.
+func parse(text []byte) (e entry, ok bool) {
+	at := bytes.Index(text, []byte("time="))
+	if at < 0 {
+		return e, false
+	}
+	dec := logfmt.NewDecoder(bytes.NewReader(text[at:]))
+	if !dec.ScanRecord() {
+		return e, false
+	}
+	e.fields = map[string]string{}
+	for dec.ScanKeyval() {
+		k := string(dec.Key())
+		if _, have := e.fields[k]; !have {
+			e.order = append(e.order, k)
+		}
+		e.fields[k] = string(dec.Value())
+	}
+	var err error
+	e.when, err = time.Parse(time.RFC3339, e.fields["time"])
+	if dec.Err() != nil || err != nil || e.fields["msg"] == "" || e.fields["level"] == "" {
+		return e, false
+	}
+	e.text = e.fields["msg"]
+	return e, true
+}
+
+func (e *entry) ms(key string) (time.Duration, bool) {
+	n, err := strconv.ParseInt(e.fields[key], 10, 64)
+	if err != nil || n > countMost || n < -countMost {
+		return 0, false
+	}
+	return time.Duration(n) * time.Millisecond, true
+}
+
+// Read in passing: files that could not be read, and lines that were left out.
+type left struct {
+	relays, empty []string
+	foreign, torn int
+}
+
+// each shows the lines of all relays, relay by relay, in the order in which they
+// stand there.
+func each(dir fs.FS, name string, show func(relay string, e *entry)) (*left, error) {
+	files, err := fs.Glob(dir, "*.log")
+	if err != nil {
+		return nil, err
+	}
+	l := &left{}
+	for _, file := range files {
+		relay, lines := strings.TrimSuffix(path.Base(file), ".log"), 0
+		if f, err := dir.Open(file); err == nil {
+			in := bufio.NewReaderSize(f, 64<<10)
+			for err == nil {
+				var text []byte
+				var whole bool
+				text, whole, err = line(in)
+				e, ok := parse(text)
+				switch {
+				case len(text) == 0:
+				case ok && (whole || err == io.EOF):
+					lines++
+					show(relay, &e)
+				case !whole && err == io.EOF:
+					l.torn++
+				default:
+					l.foreign++
+				}
+			}
+			f.Close()
+		}
+		if lines == 0 {
+			l.empty = append(l.empty, file)
+			continue
+		}
+		l.relays = append(l.relays, relay)
+	}
+	if len(l.relays) == 0 {
+		return nil, fmt.Errorf("%s: %w", name, errNothing)
+	}
+	return l, nil
+}
+
+func (l *left) notes() (lines []string) {
+	lines = append(lines, fmt.Sprintf("%d relays", len(l.relays)))
+	if len(l.empty) > 0 {
+		lines = append(lines, fmt.Sprintf("%d without a readable line: %v", len(l.empty), l.empty[:min(len(l.empty), 10)]))
+	}
+	if l.foreign+l.torn > 0 {
+		lines = append(lines, fmt.Sprintf("left out: %d foreign lines, %d torn ones", l.foreign, l.torn))
+	}
+	return lines
+}
+
+// errUnknown: no line of any log names the message.
+var errUnknown = errors.New("no log names this message")
+
+// Step is one thing that a log tells of a message, or of a relay that had it.
+type Step struct {
+	Relay string
+	When  time.Time
+	Text  string
+	Rest  string // the line's other fields
+	Own   bool   // of the message itself
+	line  int
+}
+
+// Story is what all logs tell of one message, in order of time.
+type Story struct {
+	ID    string
+	Steps []Step
+	left  *left
+}
+
+// Follow finds one message's story: its own lines, and when the relays that had
+// it started and stopped round these.
+func Follow(dir fs.FS, name, id string) (*Story, error) {
+	s := &Story{ID: id}
+	round := map[string][]Step{}
+	n := 0
+	var err error
+	s.left, err = each(dir, name, func(relay string, e *entry) {
+		n++
+		at := Step{Relay: relay, When: e.when, Text: e.text, line: n}
+		switch {
+		case e.fields["message"] == id:
+			at.Own = true
+		case e.text == story.Ready, e.text == story.Stopping, e.text == story.Stopped:
+		default:
+			return
+		}
+		var rest []string
+		for _, k := range e.order {
+			if k != "time" && k != "level" && k != "msg" && k != "message" {
+				rest = append(rest, k+"="+quoted(e.fields[k]))
+			}
+		}
+		at.Rest = strings.Join(rest, " ")
+		if at.Own {
+			s.Steps = append(s.Steps, at)
+		} else {
+			round[relay] = append(round[relay], at)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(s.Steps) == 0 {
+		return nil, fmt.Errorf("%s: %s: %w", name, id, errUnknown)
+	}
+	begun, over := s.Steps[0].When, s.Steps[0].When
+	had := map[string]bool{}
+	for i := range s.Steps {
+		had[s.Steps[i].Relay] = true
+		if at := s.Steps[i].When; at.Before(begun) {
+			begun = at
+		} else if at.After(over) {
+			over = at
+		}
+	}
+	for relay := range had {
+		for _, at := range round[relay] {
+			if !at.When.Before(begun.Add(-nearRelay)) && !at.When.After(over.Add(nearRelay)) {
+				s.Steps = append(s.Steps, at)
+			}
+		}
+	}
+	slices.SortFunc(s.Steps, func(a, b Step) int {
+		if c := a.When.Compare(b.When); c != 0 {
+			return c
+		}
+		return a.line - b.line
+	})
+	return s, nil
+}
+
+func quoted(v string) string {
+	if v == "" || strings.ContainsAny(v, " \"=") {
+		return strconv.Quote(v)
+	}
+	return v
+}
+
+// WriteText writes a story, a line a step, with the time since the first.
+func (s *Story) WriteText(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, l := range s.left.notes() {
+		fmt.Fprintln(out, l)
+	}
+	first := s.Steps[slices.IndexFunc(s.Steps, func(x Step) bool { return x.Own })].When
+	fmt.Fprintf(out, "message %s, first told of %s\n\n", s.ID, first.Format(time.RFC3339Nano))
+	for i := range s.Steps {
+		x := &s.Steps[i]
+		what := x.Text
+		if !x.Own {
+			what = "(" + what + ")"
+		}
+		fmt.Fprintf(w, "%+.3f s\t%s\t%s\t%s\n", x.When.Sub(first).Seconds(), x.Relay, what, x.Rest)
+	}
+	return w.Flush()
+}
+
+// Fate is what became of a message that a relay took on.
+type Fate string
+
+// Fates. The first three are as they should be, the next three wait for what the
+// logs do not show, and the others are faults.
+const (
+	InTime     Fate = "delivered within its time"
+	Noticed    Fate = "ended by a notice in time"
+	Left       Fate = "its client left before it was told"
+	Held       Fate = "held at the end of the logs, with time left"
+	Gone       Fate = "its relay's log ends before its time was over"
+	FolderGone Fate = "its relay started again with no log: the machine was lost"
+	Past       Fate = "delivered after its time"
+	NoticeLate Fate = "its notice was taken more than 300 ms after its time"
+	NoNotice   Fate = "ended, and no notice was taken"
+	Forgotten  Fate = "its relay started again and did not take it up"
+	NoEnd      Fate = "no end, though its relay went on past its time"
+	Twice      Fate = "ended more than once"
+)
+
+var fates = []Fate{InTime, Noticed, Left, Held, Gone, FolderGone, Past, NoticeLate, NoNotice, Forgotten, NoEnd, Twice}
+
+// Fault reports whether a message was owed something that it did not get.
+func (f Fate) Fault() bool { return slices.Index(fates, f) >= slices.Index(fates, Past) }
+
+// life is what is known of one message.
+type life struct {
+	relay                  string
+	begun, due             time.Time
+	delivered, ended, told time.Time
+	deliveries, endings    int
+	left                   bool
+	resumed                time.Time
+	seen                   bool // from its hand-in or a resumption on
+}
+
+// process is what a log tells of a relay's processes.
+type process struct {
+	starts []start
+	last   time.Time
+}
+
+type start struct {
+	at   time.Time
+	none bool // without a log of messages
+}
+
+// Ends says what became of every message that logs tell of.
+type Ends struct {
+	Count    map[Fate]int
+	Example  map[Fate][]string // ids of some, in order of their hand-in
+	Taken    int               // messages that were taken on, as far as they are told of
+	Untold   int64             // messages of which the logs do not tell from their hand-in on
+	Unknown  int               // messages beyond those that are followed
+	Worst    time.Duration     // the latest a notice was taken, after its message's time
+	Longest  time.Duration     // the longest that a request may have stood unread
+	left     *left
+	lives    map[string]*life
+	relays   map[string]*process
+	followed int
+}
+
+const examples = 5
+
+// ReadEnds adds up the ends of all messages.
+func ReadEnds(dir fs.FS, name string) (*Ends, error) {
+	e := &Ends{Count: map[Fate]int{}, Example: map[Fate][]string{}, lives: map[string]*life{}, relays: map[string]*process{}, followed: followMost}
+	var err error
+	if e.left, err = each(dir, name, e.take); err != nil {
+		return nil, err
+	}
+	ids := slices.SortedFunc(maps.Keys(e.lives), func(a, b string) int {
+		if c := e.lives[a].begun.Compare(e.lives[b].begun); c != 0 {
+			return c
+		}
+		return strings.Compare(a, b)
+	})
+	for _, id := range ids {
+		l := e.lives[id]
+		if !l.seen && !l.left && l.endings == 0 && l.deliveries == 0 {
+			continue // attempts alone: the rest of it is untold
+		}
+		f := e.fate(l)
+		if f != Left {
+			e.Taken++
+		}
+		e.Count[f]++
+		if len(e.Example[f]) < examples {
+			e.Example[f] = append(e.Example[f], id)
+		}
+	}
+	return e, nil
+}
+
+func (e *Ends) take(relay string, x *entry) {
+	p := e.relays[relay]
+	if p == nil {
+		p = &process{}
+		e.relays[relay] = p
+	}
+	if x.when.After(p.last) {
+		p.last = x.when
+	}
+	switch x.text {
+	case story.Ready:
+		p.starts = append(p.starts, start{x.when, x.fields["log"] == "none"})
+		return
+	case "tally":
+		for _, k := range x.order {
+			if n, err := strconv.ParseInt(x.fields[k], 10, 64); err == nil && n > 0 && n < countMost && strings.HasSuffix(k, ".untold") {
+				e.Untold += n
+			}
+		}
+		return
+	}
+	id := x.fields["message"]
+	if id == "" {
+		return
+	}
+	switch x.text {
+	case story.Taken, story.Withdrawn, story.Delivered, story.Attempt, story.Ended, story.Told, story.Resumed:
+	default:
+		return // refused ones were never taken on
+	}
+	l := e.lives[id]
+	if l == nil {
+		if len(e.lives) >= e.followed {
+			e.Unknown++
+			return
+		}
+		l = &life{begun: x.when}
+		e.lives[id] = l
+	}
+	l.relay = relay
+	if rest, ok := x.ms("left_ms"); ok && (x.text == story.Taken || x.text == story.Resumed || !l.seen) {
+		l.due = x.when.Add(rest)
+	}
+	if w, ok := x.ms("waited_ms"); ok {
+		e.Longest = max(e.Longest, w)
+	}
+	switch x.text {
+	case story.Taken:
+		l.seen = true
+	case story.Withdrawn:
+		l.left = true
+	case story.Resumed:
+		l.seen, l.resumed = true, x.when
+	case story.Delivered:
+		l.deliveries++
+		l.delivered = x.when
+	case story.Ended:
+		l.endings++
+		l.ended = x.when
+	case story.Told:
+		if l.told.IsZero() {
+			l.told = x.when
+		}
+	}
+}
+
+// fate judges one message. A planned or unplanned restart takes time, in which no
+// notice is overdue: one that a start came before it is told from that start on.
+func (e *Ends) fate(l *life) Fate {
+	p := e.relays[l.relay]
+	late := func(at time.Time) time.Duration {
+		due := l.due
+		for _, s := range p.starts {
+			if s.at.After(l.begun) && !s.at.After(at) && s.at.Add(restart).After(due) {
+				due = s.at.Add(restart)
+			}
+		}
+		return at.Sub(due)
+	}
+	switch {
+	case l.deliveries+l.endings > 1 && l.resumed.IsZero(): // an end that was not logged may come again after a start
+		return Twice
+	case l.deliveries > 0 && late(l.delivered) > 0:
+		return Past
+	case l.deliveries > 0:
+		return InTime
+	case l.left:
+		return Left
+	case !l.told.IsZero():
+		over := late(l.told)
+		e.Worst = max(e.Worst, over)
+		if over > noticeTime {
+			return NoticeLate
+		}
+		return Noticed
+	}
+	for _, s := range p.starts {
+		if s.at.After(l.begun) && l.resumed.Before(s.at) {
+			if s.none {
+				return FolderGone
+			}
+			return Forgotten
+		}
+	}
+	owed := l.due.Add(noticeTime)
+	switch {
+	case l.due.IsZero() || p.last.Before(owed) && p.last.Before(e.end().Add(-nearRelay)):
+		return Gone
+	case p.last.Before(owed):
+		return Held
+	case l.endings > 0:
+		return NoNotice
+	}
+	return NoEnd
+}
+
+// restart is how long after a start a notice may still come that was due before.
+const restart = 1500*time.Millisecond - noticeTime
+
+// end is when the last of all logs ends.
+func (e *Ends) end() (at time.Time) {
+	for _, p := range e.relays {
+		if p.last.After(at) {
+			at = p.last
+		}
+	}
+	return at
+}
+
+// WriteText writes the sums, with some ids for each.
+func (e *Ends) WriteText(out io.Writer) error {
+	for _, l := range e.left.notes() {
+		fmt.Fprintln(out, l)
+	}
+	fmt.Fprintf(out, "%d messages taken on, as far as they are told of", e.Taken)
+	if e.Untold > 0 {
+		fmt.Fprintf(out, "; %d more are not told of from their hand-in on", e.Untold)
+	}
+	if e.Unknown > 0 {
+		fmt.Fprintf(out, "; %d lines on messages beyond %d", e.Unknown, e.followed)
+	}
+	fmt.Fprintf(out, "\nlatest notice: %d ms after its message's time; longest that a request stood unread: %d ms\n\n", e.Worst.Milliseconds(), e.Longest.Milliseconds())
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	faults, sum := 0, 0
+	fmt.Fprintln(w, "messages\t\twhat became of them\tsome of them")
+	for _, f := range fates {
+		n := e.Count[f]
+		if n == 0 {
+			continue
+		}
+		mark := ""
+		if f.Fault() {
+			mark = "!"
+			faults += n
+		}
+		sum += n
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", n, mark, f, strings.Join(e.Example[f], " "))
+	}
+	fmt.Fprintf(w, "%d\t\tin all, %d of them faults\t\n", sum, faults)
+	return w.Flush()
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -77,6 +77,7 @@
 	// nobody looked at counts as having come when that queue was last seen empty.
 	// A client's time runs from when it sent, and not from when it was read.
 	At     time.Time
+	Waited time.Duration // how long that is ago
 	Ticket Ticket
 	// Refuse is set where the command has waited for its turn for so long that
 	// its answer would come too late; ComeBack is when to come again.
@@ -728,7 +729,7 @@
 	c.turn++
 	waited := now - c.edge
 	came := max(c.came, now-answerWait.Microseconds())
-	asked := Asked{Args: c.rd.Args(), At: f.began.Add(time.Duration(came) * time.Microsecond), Ticket: Ticket{slot, c.turn}}
+	asked := Asked{Args: c.rd.Args(), At: f.began.Add(time.Duration(came) * time.Microsecond), Waited: time.Duration(now-came) * time.Microsecond, Ticket: Ticket{slot, c.turn}}
 	back, refuse := f.o.Limits.Refuse(waited, len(f.queue), int64(f.each))
 	asked.Refuse, asked.ComeBack = refuse, time.Duration(back)*time.Microsecond
 	reply := f.o.Handle(&asked)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"troutusher/internal/keys"
+	"troutusher/internal/story"
 	"troutusher/internal/tlspolicy"
 	"troutusher/internal/tomlfile"
 )
@@ -28,8 +29,19 @@
 	Clients    Clients    `toml:"clients"`
 	TLS        []TLS      `toml:"tls"`
 	Handshakes Handshakes `toml:"handshakes"`
+	Stories    Stories    `toml:"stories"`
 }
 
+// Stories is what the log tells of single messages.
+type Stories struct {
+	// PerSecond is how many messages a second are told from their hand-in on;
+	// -1 for none.
+	PerSecond int `toml:"per_second"`
+}
+
+// Most is PerSecond as a number of messages.
+func (s *Stories) Most() int { return max(cmp.Or(s.PerSecond, story.Default), 0) }
+
 // TLS is a rule for partners that are called over TLS.
 type TLS struct {
 	// Name stands in logs and figures.
@@ -104,6 +116,7 @@
 const (
 	DescriptorsLeast = 64
 	DescriptorsMost  = 1 << 20
+	storiesMost      = 1 << 20
 	idleLeast        = 2     // s: no connection without a request is closed sooner
 	idleMost         = 86400 // s
 	memoryMost       = 1 << 20
@@ -169,6 +182,9 @@
 		}
 		seen[addr] = true
 	}
+	if n := f.Stories.PerSecond; n < -1 || n > storiesMost {
+		check.Wrong("stories.per_second", "%d, want -1 to %d", n, storiesMost)
+	}
 	f.checkTLS(check)
 	return f, check.Err()
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"time"
+	"troutusher/internal/story"
 )
 
 func TestParse(t *testing.T) {
@@ -58,6 +59,8 @@
 		"[clients]\nasked_most = -1\n":                                       "o.toml:2: clients.asked_most: -1",
 		"[clients]\nplaces = \"many\"\n":                                     "o.toml:2: ",
 		"[clients]\nplace = 1\n":                                             "o.toml:2: clients.place: unknown key",
+		"[stories]\nper_second = -2\n":                                       "o.toml:2: stories.per_second: -2, want -1 to 1048576",
+		"[stories]\nper_second = 1048577\n":                                  "o.toml:2: stories.per_second: 1048577",
 		"[client]\n":                                                         "o.toml:1: client: unknown key",
 		"[clients\n":                                                         "o.toml:1: ",
 		"[[tls]]\ndestinations = [1]\nserver_name = \"x\"\nroots = \"r\"\n":  "o.toml:1: tls[0].name: missing",
@@ -120,3 +123,14 @@
 		}
 	})
 }
+
+// So many messages are told of: the usual number where nothing is said, none
+// where the operator wants none.
+func TestStories(t *testing.T) {
+	for text, want := range map[string]int{"": story.Default, "[stories]\nper_second = 7\n": 7, "[stories]\nper_second = -1\n": 0} {
+		f, err := Parse("o.toml", []byte(text))
+		if err != nil || f.Stories.Most() != want {
+			t.Errorf("%q: %v, %v", text, f, err)
+		}
+	}
+}
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -164,6 +164,7 @@
 			}
 			return front.Reply{Text: busy(max(a.ComeBack.Milliseconds(), 1)), What: places.Request}
 		}
+		q.Waited = a.Waited.Microseconds()
 		t := a.Ticket
 		q.reply = func(s string) { c.front.Answer(t, s) }
 		q.said = c.said
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -38,6 +38,7 @@
 	Known      *List // the list as this relay last had it, maybe old
 	Policy     decide.Settings
 	Operator   operator.Clients // what the operator's file says; zero where there is none
+	Stories    int              // messages a second that the log tells of from their hand-in on
 	TLS        []operator.TLS   // likewise
 	Handshakes operator.Handshakes
 	zones      map[string]int
@@ -76,12 +77,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", operator.Env, err)
 	}
+	stories := operator.Stories{}
 	if own != nil {
+		stories = own.Stories
 		c.TLS, c.Handshakes = own.TLS, own.Handshakes
 		if err := c.apply(&own.Clients); err != nil {
 			return nil, fmt.Errorf("%s: %w", operator.Env, err)
 		}
 	}
+	c.Stories = stories.Most()
 	return c, nil
 }
 
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -17,6 +17,7 @@
 	"troutusher/internal/front"
 	"troutusher/internal/secure"
 	"troutusher/internal/source/registry"
+	"troutusher/internal/story"
 	"troutusher/internal/takeover"
 	"troutusher/internal/takeover/link"
 )
@@ -85,7 +86,7 @@
 	}
 	var err error
 	set := core.Settings{Policy: cfg.Policy, Seed: cfg.Seed, Epoch: r.began.UnixMicro() - clockStart,
-		Zones: cfg.zones, Kinds: cfg.kinds, Classes: cfg.classes, Tenants: cfg.tenants}
+		Stories: cfg.Stories, Zones: cfg.zones, Kinds: cfg.kinds, Classes: cfg.classes, Tenants: cfg.tenants}
 	if len(cfg.TLS) > 0 {
 		r.partners, err = secure.New(secure.Options{Rules: cfg.TLS, Handshakes: cfg.Handshakes, Log: log, Seed: cfg.Seed, State: cfg.State, Barred: r.barred})
 		if err != nil {
@@ -108,6 +109,7 @@
 	r.pool.now = r.now
 	go r.pool.run(ctx)
 	r.notices = newNotices(cfg.Discovery, log, func(id string) {
+		log.Info(story.Told, "message", id)
 		r.wal.submit(&record{Kind: core.End, ID: id}, nil)
 	})
 	watch, unwatch := context.WithCancel(ctx)
@@ -215,7 +217,7 @@
 		defer ln.Close()
 		go r.offer(ln)
 	}
-	log.Info("ready", "name", cfg.Name, "listen", cl.front.Addr().String(), "endpoints", r.core.Endpoints(), "owed", len(owed),
+	log.Info(story.Ready, "name", cfg.Name, "listen", cl.front.Addr().String(), "endpoints", r.core.Endpoints(), "owed", len(owed), "log", wal.found,
 		"handed_over", inherited.Core != nil, "clients", kept)
 	err = r.loop(cl, failed)
 	if err == errGiven {
@@ -346,7 +348,7 @@
 		}
 		idle := r.core.Waiting() == 0 && r.core.Calls() == 0 && (r.core.Held() == 0 || gone >= core.StopSends)
 		if told && !listening && idle || gone >= core.StopCalls {
-			r.log.Info("stopped", "held", r.core.Held(), "calls", r.core.Calls())
+			r.log.Info(story.Stopped, "held", r.core.Held(), "calls", r.core.Calls())
 			return nil
 		}
 	}
--- a/internal/relay/wal.go
+++ b/internal/relay/wal.go
@@ -96,8 +96,9 @@
 	file   *os.File
 	size   int64
 	live   map[string]*liveRecord
-	owed   int64 // bytes that the live records need
-	taken  int   // messages so far, for their order
+	owed   int64  // bytes that the live records need
+	taken  int    // messages so far, for their order
+	found  string // what was there at the start
 	in     *mailbox[walOp]
 	done   chan struct{}
 	buffer []byte
@@ -119,6 +120,9 @@
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, nil, fmt.Errorf("log: %w", err)
 	}
+	if w.found = "found"; err != nil {
+		w.found = "none"
+	}
 	w.replay(text)
 	for id, l := range w.live {
 		if out == nil || !out(id) {
--- /dev/null
+++ b/internal/story/story.go
@@ -0,0 +1,55 @@
+// Package story names the lines in which a relay's log tells what happened to
+// one message, and decides which messages are told from their hand-in on: at
+// most so many a second, each of them to its end, so that a busy relay's log
+// stays in bounds and what is told of a message is all of it.
+//
+// It must never read a clock or write a line, or be asked anything by what
+// decides on messages.
+package story
+
+// Lines, by their text. Ended, Told, Attempt and Resumed are told of every
+// message; the others of those that the budget has room for.
+const (
+	Taken     = "taken"     // on: its client has the answer
+	Refused   = "refused"   // and never taken on: its client was told at once
+	Withdrawn = "withdrawn" // its client left before it had its answer
+	Delivered = "delivered" // and over
+	Attempt   = "attempt"   // an attempt ended otherwise
+	Ended     = "ended"     // by the policy: handed back or given up
+	Told      = "told"      // the platform has taken the notice of its end
+	Resumed   = "resumed"   // taken up from an earlier process
+)
+
+// Lines of a process, which stand round the stories.
+const (
+	Ready    = "ready"
+	Stopping = "stopping"
+	Stopped  = "stopped"
+)
+
+// Default is how many messages a second are told from their hand-in on.
+const Default = 100
+
+const second = 1_000_000 // µs
+
+// Budget is how many more messages may be told.
+type Budget struct {
+	most, used int
+	at         int64 // the second
+}
+
+// NewBudget makes one of so many messages a second.
+func NewBudget(perSecond int) *Budget { return &Budget{most: perSecond} }
+
+// Take reports whether a message that comes now (µs) is told. A clock that goes
+// back begins no new second.
+func (b *Budget) Take(now int64) bool {
+	if s := now / second; s > b.at {
+		b.at, b.used = s, 0
+	}
+	if b.used >= b.most {
+		return false
+	}
+	b.used++
+	return true
+}
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -41,7 +41,8 @@
 	FirstMS   = "first_ms" // ... and how long their messages had been held, in ms, added up
 	GivenUp   = "given_up"
 	Probed    = "probed"
-	Back      = "back_" // handed back or refused, with the rule that decided it
+	Untold    = "untold" // messages shown to the policy, of which the log does not tell from their hand-in on
+	Back      = "back_"  // handed back or refused, with the rule that decided it
 )
 
 // Tally counts one second after another.
