--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -366,7 +366,7 @@
 		r.step()
 	}
 	if args := r.tally.Turn(r.wall(r.now)); args != nil {
-		r.tell(slog.LevelInfo, "tally", args...)
+		r.tell(slog.LevelInfo, tally.Line, args...)
 	}
 	return r.done()
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -249,7 +249,7 @@
 func TestCoresArePure(t *testing.T) {
 	allowed := strings.Fields("bytes cmp container/heap errors fmt log/slog maps math math/bits math/rand/v2 net slices sort strconv strings")
 	// The gate is asked by many calls at once: it has a lock, and is else like the others.
-	for _, dir := range []string{".", "../places", "../resp", "../wheel", "../duty", "../takeover", "../gate", "../tlspolicy", "../source/registry", "../tally", "../../decide"} {
+	for _, dir := range []string{".", "../places", "../resp", "../wheel", "../duty", "../takeover", "../gate", "../tlspolicy", "../source/registry", "../tally", "../story", "../../decide"} {
 		allowed := allowed
 		if dir == "../gate" {
 			allowed = append([]string{"sync"}, allowed...)
@@ -268,7 +268,7 @@
 			for name, f := range p.Files {
 				for _, i := range f.Imports {
 					path, _ := strconv.Unquote(i.Path.Value)
-					own := strings.HasPrefix(path, "troutusher/") && slices.Contains([]string{"troutusher/decide", "troutusher/internal/tally", "troutusher/internal/wheel"}, path)
+					own := strings.HasPrefix(path, "troutusher/") && slices.Contains([]string{"troutusher/decide", "troutusher/internal/story", "troutusher/internal/tally", "troutusher/internal/wheel"}, path)
 					if !own && !slices.Contains(allowed, path) {
 						t.Errorf("%s imports %s", name, path)
 					}
--- a/internal/fleetlog/fleetlog.go
+++ b/internal/fleetlog/fleetlog.go
@@ -55,6 +55,8 @@
 	Dests     []int // in order
 	Discovery Counts
 	Lists     []List
+	Longest   time.Duration  // the longest step of any relay's loop ...
+	LongestAt string         // ... and whose, and in which second
 	Says      map[string]int // the policies' own words, by how many relays
 
 	origin int64                    // the first second that was read
@@ -198,7 +200,12 @@
 	}
 	when, fields, order := e.when, e.fields, e.order
 	switch fields["msg"] {
-	case "tally":
+	case tally.Line:
+		if us, err := strconv.ParseInt(fields[tally.Longest], 10, 64); err == nil && us < countMost {
+			if step := time.Duration(us) * time.Microsecond; step > d.Longest {
+				d.Longest, d.LongestAt = step, relay+" in second "+fields["second"]
+			}
+		}
 		d.count(relay, fields, order)
 	case "ready":
 		d.Starts = append(d.Starts, when)
--- a/internal/fleetlog/fleetlog_test.go
+++ b/internal/fleetlog/fleetlog_test.go
@@ -31,7 +31,7 @@
 		c.Add(4, tally.Back+"time", 1)
 		c.Add(9, tally.Sent, 1)
 		if args := c.Turn((s + 1) * 1e6); args != nil {
-			log.Info("tally", args...)
+			log.Info(tally.Line, append(args, tally.Longest, 100*s)...)
 		}
 	}
 	return b.String()
@@ -122,7 +122,7 @@
 	if err := d.WriteHTML(&page); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"2 relays, 2 starts; 2 seconds", "by rule: time 3", "list 7: heard by 2 relays", "2 relays: dest 4: seen failing"} {
+	for _, want := range []string{"2 relays, 2 starts; 2 seconds", "by rule: time 3", "list 7: heard by 2 relays", "2 relays: dest 4: seen failing", "longest step of a loop: 10.1 ms, n0 in second 101"} {
 		if !strings.Contains(text.String(), want) || !strings.Contains(page.String(), want) {
 			t.Errorf("%q is missing", want)
 		}
--- a/internal/fleetlog/report.go
+++ b/internal/fleetlog/report.go
@@ -109,6 +109,9 @@
 	if n := len(d.Starts); n > 0 {
 		lines = append(lines, fmt.Sprintf("ready: the first %s, the last %s after it", d.Starts[0].Format(time.RFC3339Nano), d.Starts[n-1].Sub(d.Starts[0])))
 	}
+	if d.Longest > 0 {
+		lines = append(lines, fmt.Sprintf("longest step of a loop: %.1f ms, %s", d.Longest.Seconds()*1e3, d.LongestAt))
+	}
 	if len(d.Discovery) > 0 {
 		text := "calls to discovery that ended, all relays:"
 		for _, k := range slices.Sorted(maps.Keys(d.Discovery)) {
--- a/internal/fleetlog/stories.go
+++ b/internal/fleetlog/stories.go
@@ -18,6 +18,7 @@
 	"github.com/go-logfmt/logfmt"
 
 	"troutusher/internal/story"
+	"troutusher/internal/tally"
 )
 
 const (
@@ -344,7 +345,7 @@
 	case story.Ready:
 		p.starts = append(p.starts, start{x.when, x.fields["log"] == "none"})
 		return
-	case "tally":
+	case tally.Line:
 		for _, k := range x.order {
 			if n, err := strconv.ParseInt(x.fields[k], 10, 64); err == nil && n > 0 && n < countMost && strings.HasSuffix(k, ".untold") {
 				e.Untold += n
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -20,6 +20,7 @@
 	"troutusher/internal/story"
 	"troutusher/internal/takeover"
 	"troutusher/internal/takeover/link"
+	"troutusher/internal/tally"
 )
 
 const clockStart = decide.Time(3600e6) // of the core's clock: sends of an earlier process lie before it
@@ -49,6 +50,7 @@
 	board     *console.Board
 	seen      time.Time // when the endpoints avoided were last counted
 	began     time.Time
+	longest   time.Duration // of the steps since the last tally
 	homes     map[decide.Endpoint]*home
 	events    []core.Event
 	effects   []core.Effect
@@ -373,6 +375,8 @@
 
 // step lets the core decide on what has happened.
 func (r *Relay) step() {
+	began := time.Now()
+	defer func() { r.longest = max(r.longest, time.Since(began)) }()
 	r.carryOut(r.core.Step(r.now(), r.events, r.effects[:0]))
 	clear(r.events)
 	r.show()
@@ -442,6 +446,10 @@
 		delete(r.homes, e.Endpoint)
 		r.pool.forget(e.Endpoint)
 	case core.Tell:
+		if e.Text == tally.Line {
+			e.Args = append(e.Args, tally.Longest, r.longest.Microseconds())
+			r.longest = 0
+		}
 		r.log.Log(r.ctx, e.Level, e.Text, e.Args...)
 	case core.Again:
 		r.in.put(happening{})
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -45,6 +45,13 @@
 	Back      = "back_"  // handed back or refused, with the rule that decided it
 )
 
+// Line is the text of a tally's line; Longest names a field that the driver adds,
+// the longest step of the loop since the line before, in µs.
+const (
+	Line    = "tally"
+	Longest = "step_us"
+)
+
 // Tally counts one second after another.
 type Tally struct {
 	at    int64 // the second
