A message's end is told before it is logged; what a 410 settles is told too

The line comes before the record; a settled message that was not delivered has a line `over`, a fate of its own.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -913,6 +913,13 @@
 		r.tell(slog.LevelInfo, story.Attempt, "message", m.rec.ID, "dest", m.rec.Dest, "class", m.rec.Class, "endpoint", e.Endpoint,
 			"attempt", c.attempt, "outcome", int(o.What), "status", o.Status, "took_ms", o.Took/1000, "err", o.Err)
 	}
+	if o.Settled && !m.over { // told first: a kill in between must not leave a message with neither a line nor a record
+		line := story.Over
+		if o.What == decide.Delivered {
+			line = story.Delivered
+		}
+		r.story(m, line, "endpoint", e.Endpoint, "took_ms", o.Took/1000, "left_ms", r.left(m))
+	}
 	switch {
 	case o.Settled:
 		r.log(&Record{Kind: End, ID: m.rec.ID})
@@ -922,7 +929,6 @@
 	if o.Settled && !m.over {
 		if o.What == decide.Delivered {
 			r.count(m.rec.Class, answered)
-			r.story(m, story.Delivered, "endpoint", e.Endpoint, "took_ms", o.Took/1000, "left_ms", r.left(m))
 		}
 		m.over = true
 		r.drop(m)
--- a/internal/fleetlog/stories_test.go
+++ b/internal/fleetlog/stories_test.go
@@ -37,6 +37,7 @@
 	live := at(0, story.Ready, "log=none") + at(90_000, "tally", "second=90")
 	for want, logs := range map[Fate]string{
 		InTime:     live + taken(100, "m", 1000) + at(600, story.Delivered, of("m", "left_ms=500")),
+		Elsewhere:  live + taken(100, "m", 1000) + at(600, story.Over, of("m", "left_ms=500")),
 		Past:       live + taken(100, "m", 1000) + at(1200, story.Delivered, of("m", "left_ms=-100")),
 		Noticed:    live + taken(100, "m", 1000) + at(1100, story.Ended, of("m", "left_ms=0")) + at(1395, story.Told, of("m", "")),
 		NoticeLate: live + taken(100, "m", 1000) + at(1100, story.Ended, of("m", "left_ms=0")) + at(1402, story.Told, of("m", "")),
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -14,6 +14,7 @@
 	Refused   = "refused"   // and never taken on: its client was told at once
 	Withdrawn = "withdrawn" // its client left before it had its answer
 	Delivered = "delivered" // and over
+	Over      = "over"      // at its endpoint (410): withdrawn, or out of time; nothing more is owed
 	Attempt   = "attempt"   // an attempt ended otherwise
 	Ended     = "ended"     // by the policy: handed back or given up
 	Told      = "told"      // the platform has taken the notice of its end
