What was learned outlives a kill: waits, outages and rates in a file, aged when read

Change. decide.Recall (decide/age.go, a policy file) takes an exported memory over with a stated rule for each field: waits keep their moments, what was out stays out, budgets do not grow in the gap, what is merely old is the default again. core.Learn and Recall add list and waits; an endpoint inherits by id, address and destination together. internal/learned is the file: versioned, xxHash64, replaced whole by renameio, 1/64 of disk_mb, due 0.25 s after what matters and every 2 s else within 8 KB/s. A file that cannot be used is set aside. `troutusher learned inspect` prints it; `[learned] period_s` turns it off. decide.Import gives a destination whose endpoints are all new what binds it as a whole.

--- a/cmd/troutusher-kit/kit_test.go
+++ b/cmd/troutusher-kit/kit_test.go
@@ -13,6 +13,9 @@
 	"testing"
 	"time"
 
+	"troutusher/decide"
+	"troutusher/internal/core"
+	"troutusher/internal/learned"
 	"troutusher/internal/rehearse/recording"
 	"troutusher/internal/rehearse/report"
 	"troutusher/internal/rehearse/scenario"
@@ -92,11 +95,22 @@
 	newer := write(t, "newer", strings.Replace(string(text), `"version":1`, `"version":7`, 1))
 	logs := filepath.Dir(write(t, "n1.log", "time=2026-05-01T18:00:00Z level=INFO msg=ready log=none\n"+
 		"time=2026-05-01T18:00:01Z level=INFO msg=taken message=m1 left_ms=900\ntime=2026-05-01T18:00:09Z level=INFO msg=tally second=9\n"))
+	state := t.TempDir()
+	if _, err := learned.NewStore(state, "n7", 3<<20).Write(&learned.File{Wall: 1777658400e6, State: &core.Learned{Now: 9e6, Revision: 41,
+		Members: []core.CarriedMember{{Member: core.Member{ID: "s-1", Cell: 4, Phase: core.Up}, Number: 3}}, Waits: []core.CarriedWait{{Dest: 4, Until: 14e6}},
+		Policy: &decide.Memory{Now: 9e6, Lanes: []decide.LaneMemory{{Dest: 4, Endpoints: []decide.EndpointMemory{{ID: 3, Sick: true, FirstBad: 7e6}}}}}}}); err != nil {
+		t.Fatal(err)
+	}
 	for _, c := range []struct {
 		args []string
 		code int
 		says string
 	}{
+		{[]string{"learned", "inspect", state}, 0, "relay n7, written 2026-05-01T18:00:00Z while it ran"},
+		{[]string{"learned", "inspect", filepath.Join(state, "learned")}, 0, "1 of 1  s-1 out for 2.0 s"},
+		{[]string{"learned", "inspect", filepath.Join(state, "none")}, 1, "no such file"},
+		{[]string{"learned", "inspect", bad}, 1, "learned: damaged: no head"},
+		{[]string{"learned", "inspect"}, 2, "expected \"<path>\""},
 		{[]string{"fleet", "report", logs, "--message", "m1"}, 0, "+0.000 s  n1  taken    left_ms=900"},
 		{[]string{"fleet", "report", logs, "--ends"}, 0, "1         !  no end, though its relay went on past its time"},
 		{[]string{"fleet", "report", logs, "--message", "m2"}, 1, "m2: no log names this message"},
--- /dev/null
+++ b/cmd/troutusher-kit/learned.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"troutusher/decide"
+	"troutusher/internal/learned"
+)
+
+// learnedCommand is "troutusher learned": what a relay keeps of its destinations.
+type learnedCommand struct {
+	Inspect learnedInspect `cmd:"" help:"Print what a relay's file of learned state holds. The file is not changed."`
+}
+
+type learnedInspect struct {
+	Path string `arg:"" help:"The file, or the state folder that it lies in."`
+}
+
+func (c *learnedInspect) Run(out io.Writer) error {
+	path := c.Path
+	if st, err := os.Stat(path); err == nil && st.IsDir() {
+		path = filepath.Join(path, learned.Name)
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	f, err := learned.Decode(b)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return writeLearned(out, f, len(b))
+}
+
+func writeLearned(out io.Writer, f *learned.File, size int) error {
+	s := f.State
+	how := "while it ran"
+	if f.Clean {
+		how = "as it ended"
+	}
+	fmt.Fprintf(out, "relay %s, written %s %s, %d bytes; list %d\n\n", f.Relay, time.UnixMicro(f.Wall).UTC().Format(time.RFC3339), how, size, s.Revision)
+	name := map[decide.Endpoint]string{}
+	for i := range s.Members {
+		m := &s.Members[i]
+		name[m.Number] = m.ID
+		if m.Phase != "up" {
+			name[m.Number] += " (" + m.Phase + ")"
+		}
+	}
+	left := func(t decide.Time) string {
+		if t <= s.Now {
+			return "-"
+		}
+		return fmt.Sprintf("%.1f s", float64(t-s.Now)/1e6)
+	}
+	waits := map[int]decide.Time{}
+	for _, w := range s.Waits {
+		waits[w.Dest] = w.Until
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "dest\twaits for\trequests\taccepts\twindow\tpace\tcut to a second\trefused in a row\tout\tendpoints")
+	for i := range s.Policy.Lanes {
+		l := &s.Policy.Lanes[i]
+		var n [2]float64
+		for _, b := range l.Bins {
+			n[0], n[1] = n[0]+b[0], n[1]+b[1]
+		}
+		var all []string
+		out := 0
+		for _, e := range l.Endpoints {
+			text := name[e.ID]
+			if e.Sick {
+				out++
+				text += fmt.Sprintf(" out for %.1f s", float64(s.Now-e.FirstBad)/1e6)
+			} else if e.GoodAt > 0 {
+				text += fmt.Sprintf(" back for %.1f s", float64(s.Now-e.GoodAt)/1e6)
+			}
+			all = append(all, text)
+		}
+		cut := "-"
+		if l.Cut > 0 {
+			cut = fmt.Sprintf("%.2f", l.Cut)
+		}
+		fmt.Fprintf(w, "%d\t%s\t%.0f\t%.0f\t%.1f\t%.2f\t%s\t%d\t%d of %d\t%s\n", l.Dest, left(max(l.WaitUntil, waits[l.Dest])), n[0], n[1], l.Window, l.Boost, cut,
+			l.FullRun, out, len(l.Endpoints), strings.Join(all, ", "))
+	}
+	return w.Flush()
+}
+
+func runLearned(args []string, out, errs io.Writer) int {
+	return runKong("learned", "What a relay keeps of its destinations across restarts.", &learnedCommand{}, args, out, errs)
+}
--- a/cmd/troutusher-kit/main.go
+++ b/cmd/troutusher-kit/main.go
@@ -37,6 +37,7 @@
 		{"rehearse", "play a rush against stand-in partners on loopback, and judge it", rehearse},
 		{"put", "hand one message to a relay", put},
 		{"crowd", "measure what idle connections cost a relay", measureCrowd},
+		{"learned", "show what a relay keeps of its destinations", runLearned},
 		{"fleet", "add up the logs of many relays", runFleet},
 		{"tls", "check, inspect and probe keys and partners; make a throw-away authority", runTLS},
 	}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -22,6 +22,7 @@
 	next    uint32
 	tries   map[uint32]int
 	asked   []int
+	gen     []int // of relays that were started again: answers to the one before are lost; may be nil
 
 	downAt, upAt Time   // in between it takes no connection, and then it returns cold; 0 for never
 	came         []Time // what was sent to it since then
@@ -72,6 +73,10 @@
 			c.sent[i]++
 			a.Attempt = c.tries[a.Message]
 			c.tries[a.Message]++
+			gen := 0
+			if c.gen != nil {
+				gen = c.gen[i]
+			}
 			c.answers.add(now+40e3, func() {
 				o := Full
 				if c.downAt > 0 && now+40e3 >= c.upAt {
@@ -85,7 +90,9 @@
 				} else {
 					c.refused++
 				}
-				c.step(now+80e3, i, answer(a, o))
+				if c.gen == nil || c.gen[i] == gen {
+					c.step(now+80e3, i, answer(a, o))
+				}
 			})
 		}
 	}
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -141,8 +141,12 @@
 				ep.budget, ep.need, ep.mute, ep.lat = e.Budget.bucket(shift), e.Need, e.Mute, e.Lat.latency()
 			}
 		}
-		if l == nil {
-			continue
+		if l == nil { // all its endpoints are new: what binds the destination as a whole binds them too
+			at, ok := slices.BinarySearchFunc(p.dests, x.Dest, func(d *dest, id int) int { return d.id - id })
+			if !ok || p.dests[at].kind.Apart || len(p.dests[at].lanes) == 0 {
+				continue
+			}
+			l = p.dests[at].lanes[0]
 		}
 		l.window, l.boost, l.bound = max(x.Window, 1), x.Boost, x.Bound
 		l.waitUntil, l.pauseUntil = moved(x.WaitUntil, shift), moved(x.PauseUntil, shift)
--- /dev/null
+++ b/decide/recall_test.go
@@ -0,0 +1,192 @@
+package decide
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// restart puts a new policy in the place of one, with what that one held and,
+// where it is given, what was written of it before.
+func (c *crowd) restart(now Time, i int, text []byte) {
+	old := c.relays[i]
+	q, err := New(old.set, uint64(now)+uint64(i))
+	if err != nil {
+		panic(err)
+	}
+	c.relays[i] = q
+	c.gen[i]++
+	c.step(now, i, Event{Kind: EvList, List: ListCached, Entries: []Entry{ready(1, c.rate), ready(2, c.rate)}})
+	if text != nil {
+		m := &Memory{}
+		if err := json.Unmarshal(text, m); err != nil {
+			panic(err)
+		}
+		q.Recall(now, m, 0)
+	}
+	var held []Event
+	for _, m := range old.live {
+		held = append(held, Event{Kind: EvMessage, Message: m.id, Left: m.deadline - now, Tries: m.tries, Resumed: true})
+	}
+	slices.SortFunc(held, func(a, b Event) int { return int(a.Message) - int(b.Message) })
+	c.step(now, i, held...)
+}
+
+type restartDay struct {
+	came   []int // by second since the destination's return
+	pushed int   // windows of 2 s in which more came than it bears
+	taken  int
+}
+
+// outageWithRestart plays an outage of 6 s. All relays are restarted in it, or
+// shortly after it, knowing what was written up to 0.25 s before, or nothing.
+func outageWithRestart(t *testing.T, n int, seed uint64, at Time, restart, know bool) (d restartDay) {
+	const rate, begin = 60.0, 1000 * second
+	c := newCrowd(t, n, rate, seed)
+	c.gen = make([]int, n)
+	c.downAt, c.upAt = begin+6*second, begin+12*second
+	c.play(begin, at-250e3, 0.8*rate)
+	texts := make([][]byte, n)
+	for i, p := range c.relays {
+		text, err := json.Marshal(p.Export(begin + at - 250e3))
+		if err != nil {
+			t.Fatal(err)
+		}
+		texts[i] = text
+	}
+	c.play(begin+at-250e3, 250e3, 0.8*rate)
+	if restart {
+		for i := range c.relays {
+			text := texts[i]
+			if !know {
+				text = nil
+			}
+			c.restart(begin+at, i, text)
+		}
+	}
+	c.play(begin+at, 32*second-at, 0.8*rate)
+	d.came = make([]int, 20)
+	s := &c.relays[0].set
+	for k, x := range c.came {
+		if sec := int((x - c.upAt) / second); sec >= 0 && sec < len(d.came) {
+			d.came[sec]++
+		}
+		n := 0
+		for j := k; j >= 0 && c.came[j] > x-s.FallTime; j-- {
+			n++
+		}
+		if float64(n) > s.OverloadFactor*c.able(x)*float64(s.FallTime)/1e6+3 {
+			d.pushed++
+		}
+	}
+	for _, x := range c.taken {
+		d.taken += x
+	}
+	return d
+}
+
+// A relay that was restarted in an outage, or on the ramp after it, goes on as
+// one that never was; one that has forgotten does not.
+func TestRestartedAsNeverRestarted(t *testing.T) {
+	const seeds = 12
+	for _, n := range []int{3, 40} {
+		for what, at := range map[string]Time{"in the outage": 9 * second, "on the ramp": 15 * second} {
+			t.Run(fmt.Sprintf("%d relays, %s", n, what), func(t *testing.T) {
+				var never, knows, forgot restartDay
+				add := func(sum *restartDay, d restartDay) {
+					if sum.came == nil {
+						sum.came = make([]int, len(d.came))
+					}
+					for k := range d.came {
+						sum.came[k] += d.came[k]
+					}
+					sum.pushed += d.pushed
+					sum.taken += d.taken
+				}
+				for seed := range uint64(seeds) {
+					add(&never, outageWithRestart(t, n, seed, at, false, false))
+					add(&knows, outageWithRestart(t, n, seed, at, true, true))
+					add(&forgot, outageWithRestart(t, n, seed, at, true, false))
+				}
+				t.Logf("never  %v pushed %d taken %d", never.came, never.pushed, never.taken)
+				t.Logf("knows  %v pushed %d taken %d", knows.came, knows.pushed, knows.taken)
+				t.Logf("forgot %v pushed %d taken %d", forgot.came, forgot.pushed, forgot.taken)
+				sum, sumNever := 0, 0
+				for sec := range never.came {
+					sum, sumNever = sum+knows.came[sec], sumNever+never.came[sec]
+					if a, b := float64(knows.came[sec]), float64(never.came[sec]); a > 1.25*b+10 {
+						t.Errorf("second %d: %v sent, %v by relays that were never restarted", sec, a, b)
+					}
+				}
+				if r := float64(sum) / float64(sumNever); r < 0.9 || r > 1.1 {
+					t.Errorf("%.2f times what is sent without a restart", r)
+				}
+				if knows.pushed > never.pushed {
+					t.Errorf("pushed over %d times", knows.pushed)
+				}
+				if at == 15*second && n == 40 { // so that this can fail
+					if a, b := float64(forgot.came[3]), float64(never.came[3]); a < 1.4*b {
+						t.Errorf("relays that forgot sent %v in the second of their start, others %v: the test shows nothing", a, b)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Each field ages by its rule: waits and pauses keep their moments, budgets do
+// not grow in the gap, nothing is saved up; what is merely old is the default
+// again, and what was out stays out.
+func TestRecallAges(t *testing.T) {
+	const then = 1000 * second
+	memory := func() *Memory {
+		return &Memory{Now: then, Tenants: []BucketMemory{{then, 3, true}}, Lanes: []LaneMemory{{Window: 7, Boost: 0.6, Cut: 2, CutAt: then, FullRun: 1, FullAt: then, Bound: true,
+			WaitUntil: then + 30*second, PauseUntil: then + second, Tokens: BucketMemory{then, 5, true}, Bins: make([][2]float64, historyBins), Started: then - 5*second,
+			Endpoints: []EndpointMemory{{ID: 1, Sick: true, Score: 0.9, FirstBad: then - 4*second, BadAt: then - second, Budget: BucketMemory{then - 2*second, 0.25, true}},
+				{ID: 2, Score: 0.4}}}}}
+	}
+	for _, gap := range []Time{second, 60 * second} {
+		for _, shift := range []Time{0, -900 * second, 5000 * second} {
+			s := one()
+			s.Tenants = []Tenant{{Name: "a", Quota: 10}}
+			p, err := New(s, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := then + shift + gap
+			p.Step(now, []Event{{Kind: EvList, List: ListCached, Entries: []Entry{ready(1, 50), ready(2, 50)}}}, nil)
+			m := memory()
+			p.Recall(now, m, shift)
+			if m.Lanes[0].Tokens.Tokens != 5 || m.Lanes[0].Endpoints[0].Budget.At != then-2*second {
+				t.Fatal("the memory that was given is changed")
+			}
+			l, a, b := p.eps[1].lane, p.eps[1], p.eps[2]
+			if l.waitUntil != then+shift+30*second || l.pauseUntil != then+shift+second {
+				t.Errorf("gap %d: waits until %d, pauses until %d", gap, l.waitUntil, l.pauseUntil)
+			}
+			if !a.sick || a.score != 0.9 || a.badAt != then+shift-second || a.firstBad != then+shift-4*second {
+				t.Errorf("gap %d: what was out: %+v", gap, a)
+			}
+			if got := a.budget.level(now, 1, 100); got != 0.25 {
+				t.Errorf("gap %d: its budget is %v", gap, got)
+			}
+			if got := l.tokens.level(now, 50, 100); got != 1 {
+				t.Errorf("gap %d: %v saved up", gap, got)
+			}
+			if got := p.tenants[0].level(now, 10, 100); got != 3 {
+				t.Errorf("gap %d: the tenant has %v", gap, got)
+			}
+			if l.cut != 2 || l.cutAt != then+shift || l.bound {
+				t.Errorf("gap %d: cut %v at %d, bound %v", gap, l.cut, l.cutAt, l.bound)
+			}
+			want := [4]float64{7, 0.6, 1, 0.4}
+			if gap > historySpan {
+				want = [4]float64{1, 1, 0, 0}
+			}
+			if got := [4]float64{l.window, l.boost, float64(l.fullRun), b.score}; got != want {
+				t.Errorf("gap %d: window, boost, refusals, score %v, want %v", gap, got, want)
+			}
+		}
+	}
+}
--- a/internal/core/carry.go
+++ b/internal/core/carry.go
@@ -105,28 +105,11 @@
 // may wait for its answer, and no call be on its way to its endpoint.
 func (r *Core) Carry(now decide.Time) *Carried {
 	r.now = max(now, r.now)
-	c := &Carried{Policy: r.policy.Export(r.now)}
-	for _, ep := range r.endpoints {
-		m := CarriedMember{Member: ep.member, Number: ep.num, WaitUntil: ep.waitUntil}
-		switch {
-		case ep.listed && !ep.gone:
-		case ep.listed || ep.waitUntil > r.now || len(ep.calls) > 0:
-			m.Phase = Draining
-		default:
-			continue
-		}
-		c.Members = append(c.Members, m)
-	}
+	c := &Carried{Policy: r.policy.Export(r.now), Members: r.carriedMembers(), Waits: r.carriedWaits()}
 	for dest := range r.named {
 		c.Named = append(c.Named, dest)
 	}
 	slices.Sort(c.Named)
-	for dest, until := range r.waits {
-		if until > r.now {
-			c.Waits = append(c.Waits, CarriedWait{dest, until})
-		}
-	}
-	slices.SortFunc(c.Waits, func(a, b CarriedWait) int { return a.Dest - b.Dest })
 	held := make([]*message, 0, len(r.msgs))
 	for _, m := range r.msgs {
 		if !m.over && m.logged {
@@ -143,6 +126,33 @@
 	return c
 }
 
+// carriedMembers are the endpoints that another core should know.
+func (r *Core) carriedMembers() (all []CarriedMember) {
+	for _, ep := range r.endpoints {
+		m := CarriedMember{Member: ep.member, Number: ep.num, WaitUntil: ep.waitUntil}
+		switch {
+		case ep.listed && !ep.gone:
+		case ep.listed || ep.waitUntil > r.now || len(ep.calls) > 0:
+			m.Phase = Draining
+		default:
+			continue
+		}
+		all = append(all, m)
+	}
+	return all
+}
+
+// carriedWaits are the waits of destinations that last.
+func (r *Core) carriedWaits() (all []CarriedWait) {
+	for dest, until := range r.waits {
+		if until > r.now {
+			all = append(all, CarriedWait{dest, until})
+		}
+	}
+	slices.SortFunc(all, func(a, b CarriedWait) int { return a.Dest - b.Dest })
+	return all
+}
+
 // adopt takes over what another core knew, and returns the calls that it had
 // out and the worths that it had found, by message.
 func (r *Core) adopt(c *Carried, shift decide.Time) (map[string]*CarriedCall, map[string]float64) {
@@ -157,25 +167,18 @@
 	for _, dest := range c.Named {
 		r.named[dest] = true
 	}
-	number := map[decide.Endpoint]decide.Endpoint{}
-	for i := range c.Members {
-		m := &c.Members[i]
-		if ep := r.byID[m.ID]; ep != nil {
-			number[m.Number] = ep.num
-			if m.WaitUntil > 0 {
-				ep.waitUntil = max(ep.waitUntil, m.WaitUntil+shift)
-				r.do(Effect{Kind: Hold, Endpoint: ep.num, Until: r.heldUntil(ep)})
-			}
-		}
-	}
 	r.step() // the policy knows the endpoints from here on
-	if p := c.Policy; p != nil {
-		for i := range p.Lanes {
-			eps := p.Lanes[i].Endpoints
-			for j := range eps {
-				eps[j].ID = number[eps[j].ID] // 0 for one that is not known: no endpoint has it
-			}
+	p := c.Policy
+	if p == nil {
+		p = &decide.Memory{}
+	}
+	r.inherit(p, c.Members, shift)
+	for _, ep := range r.endpoints {
+		if ep.waitUntil > 0 {
+			r.do(Effect{Kind: Hold, Endpoint: ep.num, Until: r.heldUntil(ep)})
 		}
+	}
+	if c.Policy != nil {
 		r.policy.Import(r.now, p, shift)
 	}
 	calls, worth := map[string]*CarriedCall{}, map[string]float64{}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -247,6 +247,9 @@
 	stories   *story.Budget
 	held      int
 	calls     int
+	rev       int64             // of the list
+	stirred   uint64            // what a restart should not forget
+	moved     uint64            // calls that have ended
 	ceding    bool              // no new call is begun
 	awaiting  bool              // likewise, since the list may be old
 	probes    []decide.Endpoint // asked for meanwhile
@@ -604,6 +607,8 @@
 // list books news of the list.
 func (r *Core) list(l *List, kind decide.ListNews) {
 	e := decide.Event{Kind: decide.EvList, List: kind}
+	r.rev = l.Revision
+	r.stirred++
 	seen := map[string]bool{}
 	for i := range l.Members {
 		x := &l.Members[i]
@@ -816,6 +821,7 @@
 			r.do(Effect{Kind: CloseIdle, Endpoint: a.Endpoint})
 		}
 	case decide.ActLog:
+		r.stirred++ // a verdict, or the end of one
 		r.tell(slog.LevelInfo, "policy", "says", a.Text)
 	}
 }
@@ -890,6 +896,9 @@
 // finished books the end of an attempt.
 func (r *Core) finished(c *Call, o *Result, logged bool) {
 	m := c.m
+	if r.moved++; o.What != decide.Delivered && o.What != decide.NotSent && o.What != decide.Cancelled {
+		r.stirred++
+	}
 	e := decide.Event{Kind: decide.EvOutcome, Message: m.num, Attempt: c.attempt, Outcome: o.What, Wait: o.Wait,
 		Slots: o.Slots, Opened: o.Opened, Settled: o.Settled || m.over, Took: o.Took, Load: o.Load}
 	if c.ep != nil {
--- /dev/null
+++ b/internal/learned/learned_test.go
@@ -0,0 +1,254 @@
+package learned
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"troutusher/decide"
+	"troutusher/internal/core"
+)
+
+func sample(relay string) *File {
+	return &File{Relay: relay, Wall: 5e15, Mono: 7e9, Zero: 3e9, Boot: "b", State: &core.Learned{Now: 4e9, Revision: 12,
+		Members: []core.CarriedMember{{Member: core.Member{ID: "s-1", HostPort: "10.0.0.1:1", Cell: 4, Phase: core.Up}, Number: 3}},
+		Waits:   []core.CarriedWait{{Dest: 4, Until: 4e9 + 5}},
+		Policy:  &decide.Memory{Now: 4e9, Lanes: []decide.LaneMemory{{Dest: 4, Window: 2, Endpoints: []decide.EndpointMemory{{ID: 3, Sick: true, Score: 0.7}}}}}}}
+}
+
+func names(t *testing.T, dir string) (all []string) {
+	t.Helper()
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		all = append(all, e.Name())
+	}
+	return all
+}
+
+// What is written is read again, and replaces what was there.
+func TestWrittenAndRead(t *testing.T) {
+	dir := t.TempDir()
+	s := NewStore(dir, "n1", 3<<20)
+	if f, err := s.Read(); f != nil || err != nil {
+		t.Fatalf("of nothing: %v %v", f, err)
+	}
+	for rev := range int64(3) {
+		f := sample("")
+		f.State.Revision = rev
+		if _, err := s.Write(f); err != nil {
+			t.Fatal(err)
+		}
+		got, err := s.Read()
+		if err != nil || got.State.Revision != rev || got.Relay != "n1" || got.State.Policy.Lanes[0].Endpoints[0].Score != 0.7 ||
+			got.State.Members[0].HostPort != "10.0.0.1:1" || got.State.Waits[0].Until != 4e9+5 {
+			t.Fatalf("%+v %v", got, err)
+		}
+	}
+	if got := names(t, dir); !slices.Equal(got, []string{Name}) {
+		t.Errorf("in the folder: %v", got)
+	}
+}
+
+// Damage at any byte, and an end at any length, is an error: nothing else than
+// what was written is ever read.
+func TestDamageAtEachByte(t *testing.T) {
+	b, err := Encode(sample("n1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range b {
+		for _, flip := range []byte{1, 0x80, 0xff} {
+			c := bytes.Clone(b)
+			c[i] ^= flip
+			if _, err := Decode(c); !errors.Is(err, ErrDamaged) && !errors.Is(err, ErrNewer) {
+				t.Fatalf("byte %d: %v", i, err)
+			}
+		}
+		if _, err := Decode(b[:i]); !errors.Is(err, ErrDamaged) {
+			t.Fatalf("%d bytes: %v", i, err)
+		}
+	}
+	if _, err := Decode(append(bytes.Clone(b), 0)); !errors.Is(err, ErrDamaged) {
+		t.Errorf("one byte more: %v", err)
+	}
+}
+
+// What cannot be used is set aside, one file of it at most, and the next write
+// and read go on as if there had been none.
+func TestSetAside(t *testing.T) {
+	whole, err := Encode(sample("n1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer := bytes.Clone(whole)
+	newer[7] = 9
+	foreign, err := Encode(sample("n2"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	s := NewStore(dir, "n1", 3<<20)
+	for what, c := range map[string]struct {
+		text []byte
+		want error
+	}{"newer": {newer, ErrNewer}, "foreign": {foreign, ErrForeign}, "damaged": {whole[:30], ErrDamaged},
+		"empty": {nil, ErrDamaged}, "too long": {bytes.Repeat([]byte("x"), 1<<20), ErrDamaged}} {
+		if err := os.WriteFile(s.Path(), c.text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if f, err := s.Read(); f != nil || !errors.Is(err, c.want) {
+			t.Errorf("%s: %v %v", what, f, err)
+		}
+		if got := names(t, dir); !slices.Equal(got, []string{aside}) {
+			t.Errorf("%s: in the folder: %v", what, got)
+		}
+		if fi, err := os.Stat(filepath.Join(dir, aside)); err != nil || fi.Size() > Share(3<<20) {
+			t.Errorf("%s: set aside %v %v", what, fi, err)
+		}
+		if f, err := s.Read(); f != nil || err != nil {
+			t.Errorf("%s: again: %v %v", what, f, err)
+		}
+	}
+}
+
+// A kill at any point of a write leaves the old file or the new one, and what it
+// left beside is removed at the next start.
+func TestKillAtEachPoint(t *testing.T) {
+	whole, err := Encode(sample("n1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := 0; n <= len(whole); n += 13 {
+		dir := t.TempDir()
+		s := NewStore(dir, "n1", 3<<20)
+		old := sample("")
+		old.State.Revision = 1
+		if _, err := s.Write(old); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, "."+Name+"123"), whole[:n], 0o600); err != nil { // not renamed yet
+			t.Fatal(err)
+		}
+		if f, err := s.Read(); err != nil || f.State.Revision != 1 {
+			t.Fatalf("after %d bytes: %v %v", n, f, err)
+		}
+		if got := names(t, dir); !slices.Equal(got, []string{Name}) {
+			t.Errorf("after %d bytes: %v", n, got)
+		}
+	}
+}
+
+// A write that fails leaves the old file, and no other.
+func TestWriteFails(t *testing.T) {
+	dir := t.TempDir()
+	s := NewStore(dir, "n1", 3<<20)
+	if _, err := s.Write(sample("")); err != nil {
+		t.Fatal(err)
+	}
+	long := sample("")
+	long.State.Members[0].ID = strings.Repeat("x", int(Share(3<<20)))
+	if _, err := s.Write(long); !errors.Is(err, ErrTooLong) {
+		t.Errorf("too long: %v", err)
+	}
+	if f, err := s.Read(); err != nil || f.State.Members[0].ID != "s-1" {
+		t.Errorf("%v %v", f, err)
+	}
+	if _, err := NewStore(filepath.Join(dir, "none"), "n1", 3<<20).Write(sample("")); err == nil {
+		t.Error("written where there is no folder")
+	}
+	if err := os.Remove(s.Path()); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(s.Path(), 0o700); err != nil { // a rename onto it fails
+		t.Fatal(err)
+	}
+	if _, err := s.Write(sample("")); err == nil {
+		t.Error("a folder was replaced")
+	}
+	if got := names(t, dir); !slices.Equal(got, []string{Name}) {
+		t.Errorf("left in the folder: %v", got)
+	}
+}
+
+// The moments of a file lie right on the reader's clock: by the monotonic clock
+// in the same boot, by the wall clock else; one that went back shortens nothing.
+func TestGap(t *testing.T) {
+	f := sample("n1") // written at moment 4e9 of a clock whose moment 0 was mono 3e9
+	for name, c := range map[string]struct {
+		mono, wall int64
+		boot       string
+		ago        int64 // how long ago it was written, as read
+	}{
+		"same boot":                   {7e9 + 2e6, 5e15 + 2e6, "b", 2e6},
+		"same boot, wall clock jumps": {7e9 + 2e6, 5e15 - 9e9, "b", 2e6},
+		"another boot":                {4e6, 5e15 + 30e6, "c", 30e6},
+		"no boot is told":             {4e6, 5e15 + 30e6, "", 30e6},
+		"another boot, clock back":    {4e6, 5e15 - 30e6, "c", 0},
+		"monotonic clock went back":   {6e9, 5e15 + 8e6, "b", 8e6},
+	} {
+		zero := c.mono - 3600e6 // the reader's clock begins at an hour
+		now := c.mono - zero
+		if ago := now - (f.State.Now + f.Gap(zero, c.mono, c.wall, c.boot)); ago != c.ago {
+			t.Errorf("%s: written %d µs ago, want %d", name, ago, c.ago)
+		}
+	}
+}
+
+// The file is due soon after what should not be forgotten, now and then while
+// anything is learned, never more than its bytes allow, and not where nothing is.
+func TestPace(t *testing.T) {
+	p := NewPace(2e6)
+	if due, again := p.Due(1e6, 0, 0); due || again != 0 {
+		t.Errorf("with nothing learned: %v %d", due, again)
+	}
+	if due, again := p.Due(1.1e6, 0, 1); due || again != 3e6 {
+		t.Errorf("something learned: %v, again at %d", due, again)
+	}
+	if due, again := p.Due(1.2e6, 1, 1); due || again != 1.25e6 {
+		t.Errorf("something to remember: %v, again at %d", due, again)
+	}
+	if due, _ := p.Due(1.25e6, 1, 1); !due {
+		t.Error("not due")
+	}
+	p.Wrote(1.25e6, 1000, 1, 1)
+	if due, again := p.Due(1.3e6, 1, 1); due || again != 0 {
+		t.Errorf("nothing since: %v %d", due, again)
+	}
+	bytes, now, stirred := 0, int64(2e6), uint64(1)
+	for ; now < 62e6; now += 10e3 { // a minute in which something happens all the time
+		stirred++
+		if due, _ := p.Due(now, stirred, stirred); due {
+			p.Wrote(now, 20<<10, stirred, stirred)
+			bytes += 20 << 10
+		}
+	}
+	if most := int(rate*60 + depth + 20<<10); bytes > most || bytes < most/2 {
+		t.Errorf("%d bytes in a minute, want %d at most", bytes, most)
+	}
+}
+
+// Whatever a file holds, it is read whole or not at all.
+func FuzzDecode(f *testing.F) {
+	b, _ := Encode(sample("n1"))
+	f.Add(b)
+	f.Add([]byte(mark))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		x, err := Decode(b)
+		if err != nil {
+			return
+		}
+		if x.State == nil || x.State.Policy == nil {
+			t.Error("no state, and no error")
+		}
+		if again, err := Encode(x); err != nil || len(again) == 0 {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -30,6 +30,19 @@
 	TLS        []TLS      `toml:"tls"`
 	Handshakes Handshakes `toml:"handshakes"`
 	Stories    Stories    `toml:"stories"`
+	Learned    Learned    `toml:"learned"`
+}
+
+// Learned is the file of what was learned.
+type Learned struct {
+	// PeriodS is how often it is written while anything is learned, in seconds;
+	// -1 for never, and then none is read.
+	PeriodS float64 `toml:"period_s"`
+}
+
+// Every is PeriodS as a span; 0 for never.
+func (l *Learned) Every() time.Duration {
+	return time.Duration(max(cmp.Or(l.PeriodS, learnedPeriod), 0) * float64(time.Second))
 }
 
 // Stories is what the log tells of single messages.
@@ -117,6 +130,9 @@
 	DescriptorsLeast = 64
 	DescriptorsMost  = 1 << 20
 	storiesMost      = 1 << 20
+	learnedPeriod    = 2.0 // s
+	learnedLeast     = 0.25
+	learnedMost      = 60
 	idleLeast        = 2     // s: no connection without a request is closed sooner
 	idleMost         = 86400 // s
 	memoryMost       = 1 << 20
@@ -185,6 +201,9 @@
 	if n := f.Stories.PerSecond; n < -1 || n > storiesMost {
 		check.Wrong("stories.per_second", "%d, want -1 to %d", n, storiesMost)
 	}
+	if x := f.Learned.PeriodS; x != 0 && x != -1 && !(x >= learnedLeast && x <= learnedMost) {
+		check.Wrong("learned.period_s", "%v, want %v to %d, or -1", x, learnedLeast, learnedMost)
+	}
 	f.checkTLS(check)
 	return f, check.Err()
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -61,6 +61,8 @@
 		"[clients]\nplace = 1\n":                                             "o.toml:2: clients.place: unknown key",
 		"[stories]\nper_second = -2\n":                                       "o.toml:2: stories.per_second: -2, want -1 to 1048576",
 		"[stories]\nper_second = 1048577\n":                                  "o.toml:2: stories.per_second: 1048577",
+		"[learned]\nperiod_s = 0.1\n":                                        "o.toml:2: learned.period_s: 0.1, want 0.25 to 60, or -1",
+		"[learned]\nperiod_s = nan\n":                                        "o.toml:2: learned.period_s: NaN",
 		"[client]\n":                                                         "o.toml:1: client: unknown key",
 		"[clients\n":                                                         "o.toml:1: ",
 		"[[tls]]\ndestinations = [1]\nserver_name = \"x\"\nroots = \"r\"\n":  "o.toml:1: tls[0].name: missing",
@@ -133,4 +135,10 @@
 			t.Errorf("%q: %v, %v", text, f, err)
 		}
 	}
+	for text, want := range map[string]time.Duration{"": 2 * time.Second, "[learned]\nperiod_s = 0.5\n": 500 * time.Millisecond, "[learned]\nperiod_s = -1\n": 0} {
+		f, err := Parse("o.toml", []byte(text))
+		if err != nil || f.Learned.Every() != want {
+			t.Errorf("%q: %v, %v", text, f, err)
+		}
+	}
 }
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"syscall"
+	"time"
 
 	"troutusher/decide"
 	"troutusher/internal/front"
@@ -28,24 +29,25 @@
 
 // Config is everything that a relay is told before it starts.
 type Config struct {
-	Name       string
-	Listen     string
-	Discovery  string
-	Console    string // where operators call; empty for nowhere
-	State      string // the folder that outlasts the process
-	Seed       uint64
-	Limits     Limits
-	Known      *List // the list as this relay last had it, maybe old
-	Policy     decide.Settings
-	Operator   operator.Clients // what the operator's file says; zero where there is none
-	Stories    int              // messages a second that the log tells of from their hand-in on
-	TLS        []operator.TLS   // likewise
-	Handshakes operator.Handshakes
-	zones      map[string]int
-	kinds      map[string]int
-	classes    map[string]int
-	tenants    map[string]int
-	loads      []string // fields of a load report
+	Name         string
+	Listen       string
+	Discovery    string
+	Console      string // where operators call; empty for nowhere
+	State        string // the folder that outlasts the process
+	Seed         uint64
+	Limits       Limits
+	Known        *List // the list as this relay last had it, maybe old
+	Policy       decide.Settings
+	Operator     operator.Clients // what the operator's file says; zero where there is none
+	LearnedEvery time.Duration    // between two writes of what was learned; 0 for none
+	Stories      int              // messages a second that the log tells of from their hand-in on
+	TLS          []operator.TLS   // likewise
+	Handshakes   operator.Handshakes
+	zones        map[string]int
+	kinds        map[string]int
+	classes      map[string]int
+	tenants      map[string]int
+	loads        []string // fields of a load report
 }
 
 // LoadConfig reads the file that ROUTER_CONFIG names. What the environment
@@ -77,15 +79,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", operator.Env, err)
 	}
-	stories := operator.Stories{}
+	stories, learned := operator.Stories{}, operator.Learned{}
 	if own != nil {
-		stories = own.Stories
+		stories, learned = own.Stories, own.Learned
 		c.TLS, c.Handshakes = own.TLS, own.Handshakes
 		if err := c.apply(&own.Clients); err != nil {
 			return nil, fmt.Errorf("%s: %w", operator.Env, err)
 		}
 	}
 	c.Stories = stories.Most()
+	c.LearnedEvery = learned.Every()
 	return c, nil
 }
 
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -473,6 +473,7 @@
 // is on its way to its endpoint, and the log is written.
 func (r *Relay) still(cl *clients) error {
 	quiet := make(chan struct{})
+	r.keeper.halt() // the file is the other's from here on
 	r.frozen = mono()
 	cl.front.Freeze(func() { close(quiet) })
 	isQuiet := func() bool {
@@ -593,6 +594,7 @@
 func (r *Relay) goOnAsBefore(cl *clients) {
 	r.log.Warn("hand-over: came to nothing, this process serves on")
 	r.notices.resume()
+	r.keeper.resume()
 	r.out.unpark(true)
 	r.carryOut(r.core.Thaw(r.now(), r.effects[:0]))
 	cl.front.Thaw()
--- /dev/null
+++ b/internal/relay/keep_test.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"troutusher/internal/learned"
+)
+
+// A wait that was told holds across a kill, to its end: what was learned lies in
+// the state folder beside the log. A file of another relay is set aside, and the
+// relay starts.
+func TestWaitOutlastsAKill(t *testing.T) {
+	const wait = 3 * time.Second
+	var mu sync.Mutex
+	var told, next time.Time
+	ep := newFakeEndpoint(t, func(w http.ResponseWriter, _ *http.Request, n int) {
+		mu.Lock()
+		defer mu.Unlock()
+		if n == 1 {
+			told = time.Now()
+			w.Header().Set("Retry-After", "3")
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		if next.IsZero() {
+			next = time.Now()
+		}
+	})
+	d := newFakeDiscovery(t, ep.member("s-1", 1))
+	env := testConfig(t, d, 3, ep.member("s-1", 1))
+	c := startChild(t, env)
+	if s := dialClient(t, env["ROUTER_LISTEN"]).put("m", fields("plain", 20000, 1), nil); s != "+OK" {
+		t.Fatal(s)
+	}
+	path := filepath.Join(env["ROUTER_STATE"], learned.Name)
+	waitFor(t, "the wait in the file", func() bool {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return false
+		}
+		f, err := learned.Decode(b)
+		return err == nil && len(f.State.Waits) == 1
+	})
+	c.kill()
+	c = startChild(t, env)
+	if s := dialClient(t, env["ROUTER_LISTEN"]).put("m2", fields("plain", 20000, 1), nil); s != "+OK" {
+		t.Fatal(s)
+	}
+	waitFor(t, "both to be delivered", func() bool { return ep.count("m") == 2 && ep.count("m2") == 1 })
+	mu.Lock()
+	if gap := next.Sub(told); gap < wait-100*time.Millisecond {
+		t.Errorf("sent %v after a wait of %v was told", gap, wait)
+	}
+	mu.Unlock()
+
+	c.kill()
+	b, err := learned.Encode(&learned.File{Relay: "other", State: nil})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	startChild(t, env)
+	if s := dialClient(t, env["ROUTER_LISTEN"]).put("m3", fields("plain", 20000, 1), nil); s != "+OK" {
+		t.Fatal(s)
+	}
+	waitFor(t, "the third", func() bool { return ep.count("m3") == 1 })
+	if _, err := os.Stat(path + ".bad"); err != nil {
+		t.Errorf("not set aside: %v", err)
+	}
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -62,6 +62,7 @@
 	taking    *taking
 	taker     takeover.Taker
 	lock      *stateLock
+	keeper    *keeper        // nil where nothing is kept
 	frozen    int64          // when the clients were last read, on the system's monotonic clock
 	passed    map[string]int // calls that the process before had out, by message
 	closeLog  func()
@@ -165,7 +166,9 @@
 	}
 	cl.duty, cl.late = r.duty, r.board.Late
 	r.passed = inherited.calls
-	wal, owed, err := openWAL(cfg.State, int64(cfg.Limits.DiskMB)<<20, func(id string) bool { _, ok := inherited.calls[id]; return ok }, log)
+	r.keeper = newKeeper(r)
+	disk := int64(cfg.Limits.DiskMB) << 20
+	wal, owed, err := openWAL(cfg.State, disk-r.keeper.reserve(disk), func(id string) bool { _, ok := inherited.calls[id]; return ok }, log)
 	if err != nil {
 		return err
 	}
@@ -178,13 +181,21 @@
 	defer func() { r.notices.halt() }()
 
 	if inherited.Core == nil {
-		if heard || cfg.Known == nil { // without any list there is nothing to serve on, and nobody is let in
-			r.book(list())
+		known, shift := r.keeper.read()
+		if known != nil && (cfg.Known == nil || known.Revision > cfg.Known.Revision) { // it has heard more
+			r.book([]core.Event{{Kind: core.News, List: known.List(), News: decide.ListCached}})
 		} else {
 			r.book(r.knownList())
+		}
+		if heard || cfg.Known == nil && known == nil { // without any list there is nothing to serve on, and nobody is let in
+			r.book(list())
+		} else {
 			r.core.Await()
 			go r.awaitList()
 		}
+		if known != nil {
+			r.carryOut(r.core.Recall(r.now(), known, shift, r.effects[:0]))
+		}
 		r.carryOut(r.core.Restore(r.now(), owed, nil, 0, r.effects[:0]))
 	} else {
 		r.carryOut(r.core.Restore(r.now(), owed, inherited.Core, inherited.Mono-(mono()-r.now()), r.effects[:0]))
@@ -225,6 +236,9 @@
 	if err == errGiven {
 		return nil
 	}
+	if err == nil {
+		r.keeper.last()
+	}
 	return err
 }
 
@@ -322,6 +336,9 @@
 		if r.cfg.Console != "" {
 			wait = min(wait, boardWait)
 		}
+		if at := r.keeper.look(r.now()); at > 0 {
+			wait = min(wait, time.Duration(at-r.now()+1)*time.Microsecond)
+		}
 		timer.Reset(max(wait, 0))
 		select {
 		case <-r.in.ready:
