--- a/internal/core/herd_test.go
+++ b/internal/core/herd_test.go
@@ -477,3 +477,58 @@
 	}
 	t.Logf("%d days, %d kills, %d messages taken on", seeds, kills, taken)
 }
+
+// Thousands that are owed at a start, half of them due already and the others in
+// one later instant, end in the step in which they are due: each once, none late.
+func TestThousandsDueAtOnce(t *testing.T) {
+	const n = 6000
+	set := testCore(t).set
+	set.Policy.MaxHeld = 2 * n
+	r, err := New(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := decide.Time(3600e6)
+	r.Book(now, []Event{{Kind: News, News: decide.ListCached, List: &List{Complete: true, Members: []Member{
+		{ID: "s1", HostPort: "10.0.0.1:1", Locality: "a", Flavor: "k", Cell: 1, Phase: Draining, Size: 40}}}}}, nil)
+	r.Await()
+	var owed []*Record
+	for i := range n {
+		due := now - 1e6
+		if i%2 == 1 {
+			due = now + 2e6
+		}
+		owed = append(owed, &Record{Kind: Taken, ID: "m" + strconv.Itoa(i), Class: "plain", Dest: 1, Deadline: r.wall(due)})
+	}
+	ends := map[string]decide.Time{}
+	step := func(at decide.Time, fx []Effect) (count int) {
+		for i := range fx {
+			if fx[i].Kind == LogThenNotice {
+				count++
+				if _, twice := ends[fx[i].Notice.Message]; twice {
+					t.Fatalf("%s ends twice", fx[i].Notice.Message)
+				}
+				ends[fx[i].Notice.Message] = at
+			}
+		}
+		return count
+	}
+	step(now, r.Restore(now, owed, nil, 0, nil))
+	if got := step(now, r.Step(now, nil, nil)); got != n/2 {
+		t.Errorf("%d end at the start, want %d", got, n/2)
+	}
+	for at := now + 1000; at <= now+2e6; at = r.Next() {
+		step(at, r.Step(at, nil, nil))
+		if r.Next() == 0 {
+			break
+		}
+	}
+	if len(ends) != n || r.Held() != 0 {
+		t.Errorf("%d of %d have ended, %d are held", len(ends), n, r.Held())
+	}
+	for id, at := range ends {
+		if at > now+2e6 {
+			t.Errorf("%s ended %d µs late", id, at-now-2e6)
+		}
+	}
+}
