After a gap, what was held out for refusals alone is on its ramp

Where the verdict rests on refusals in a row alone, the endpoint is on its ramp from the middle between the last refusal and now. It is sent what it bears cold, and is out again at the next refusals.

--- a/decide/age.go
+++ b/decide/age.go
@@ -22,12 +22,19 @@
 		l := &c.Lanes[i]
 		// Nothing saved up, as when a lane of a large fleet begins: many relays may start in the same second.
 		l.Tokens, l.Bound = BucketMemory{here, min(l.Tokens.Tokens, 1), true}, false
+		shut := l.FullRun >= fullRunSick
 		if old { // counts and paces of another time of day; the history ages by itself
 			l.Window, l.Boost, l.FullRun = 1, 1, 0
 		}
 		l.Endpoints = slices.Clone(l.Endpoints)
 		for j := range l.Endpoints {
 			e := &l.Endpoints[j]
+			if e.Sick && e.GoodAt == 0 && shut && !e.Mute {
+				// Refusals alone: it answers, and is over its limit or shut. By now it may be neither, so it is held
+				// to be on its ramp, as after a first answer: what it bears cold, and out again at the next refusals.
+				e.GoodAt = e.BadAt + (here-e.BadAt)/2
+				e.GoodSent, e.Score = e.GoodAt, e.Score*scoreKeep
+			}
 			e.Budget.At = here // a second start has no second budget, of what is out or on its ramp
 			if !e.Sick && old {
 				e.Score = 0
