--- a/internal/fleetlog/fleetlog.go
+++ b/internal/fleetlog/fleetlog.go
@@ -8,11 +8,8 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"fmt"
-	"io"
 	"io/fs"
 	"maps"
-	"path"
 	"slices"
 	"strconv"
 	"strings"
@@ -116,30 +113,21 @@
 // Read adds up the files *.log of a folder, one for each relay; name is what
 // errors call the folder.
 func Read(dir fs.FS, name string) (*Day, error) {
-	files, err := fs.Glob(dir, "*.log")
-	if err != nil {
-		return nil, err
-	}
 	d := &Day{Discovery: Counts{}, Says: map[string]int{}, cells: map[int64]map[int]Counts{}, own: map[string]map[int]Counts{}}
 	lists := map[int64]*List{}
-	for _, file := range files {
-		f, err := dir.Open(file)
-		if err != nil {
-			d.Empty = append(d.Empty, file)
-			continue
-		}
-		relay := strings.TrimSuffix(path.Base(file), ".log")
-		lines, err := d.relay(relay, f, lists)
-		f.Close()
-		if err != nil || lines == 0 {
-			d.Empty = append(d.Empty, file)
-			continue
-		}
-		d.Relays = append(d.Relays, relay)
-	}
-	if len(d.Relays) == 0 {
-		return nil, fmt.Errorf("%s: %w", name, errNothing)
+	var now string // the relay whose lines these are
+	var said map[string]bool
+	var heard map[int64]bool
+	l, err := each(dir, name, func(relay string, e *entry) {
+		if said == nil || relay != now {
+			now, said, heard = relay, map[string]bool{}, map[int64]bool{}
+		}
+		d.take(relay, e, lists, said, heard)
+	})
+	if err != nil {
+		return nil, err
 	}
+	d.Relays, d.Empty, d.Foreign, d.Torn = l.relays, l.empty, l.foreign, l.torn
 	for _, rev := range slices.Sorted(maps.Keys(lists)) {
 		d.Lists = append(d.Lists, *lists[rev])
 	}
@@ -147,33 +135,6 @@
 	return d, nil
 }
 
-// relay reads one log and returns how many of its lines are a relay's.
-func (d *Day) relay(name string, r io.Reader, lists map[int64]*List) (lines int, err error) {
-	in := bufio.NewReaderSize(r, 64<<10)
-	said, heard := map[string]bool{}, map[int64]bool{}
-	for {
-		text, whole, err := line(in)
-		if len(text) > 0 {
-			switch {
-			case !whole && err == io.EOF && !d.take(name, text, lists, said, heard):
-				d.Torn++
-			case !whole && err == io.EOF: // its line end alone is missing, or it was cut where a field ends
-				lines++
-			case !whole || !d.take(name, text, lists, said, heard):
-				d.Foreign++
-			default:
-				lines++
-			}
-		}
-		if err == io.EOF {
-			return lines, nil
-		}
-		if err != nil {
-			return lines, err
-		}
-	}
-}
-
 // line reads one line; whole is false for one that is too long or has no end.
 func line(in *bufio.Reader) (text []byte, whole bool, err error) {
 	long := false
@@ -192,12 +153,8 @@
 	}
 }
 
-// take reads one line and reports whether it is one of a relay's log.
-func (d *Day) take(relay string, text []byte, lists map[int64]*List, said map[string]bool, heard map[int64]bool) bool {
-	e, ok := parse(text)
-	if !ok {
-		return false
-	}
+// take adds up what one line says.
+func (d *Day) take(relay string, e *entry, lists map[int64]*List, said map[string]bool, heard map[int64]bool) {
 	when, fields, order := e.when, e.fields, e.order
 	switch fields["msg"] {
 	case tally.Line:
@@ -236,7 +193,6 @@
 			d.Says[s]++
 		}
 	}
-	return true
 }
 
 func (d *Day) count(relay string, fields map[string]string, order []string) {
