--- a/decide/recall_test.go
+++ b/decide/recall_test.go
@@ -3,7 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
+	"runtime"
 	"slices"
+	"strconv"
+	"sync"
 	"testing"
 )
 
@@ -135,6 +139,44 @@
 	}
 }
 
+// Over many seeds, with the restart at any moment of the outage and the recovery,
+// a returning destination is pushed over by relays that remember no more often
+// than by relays that were never restarted. RESTART_SEEDS asks for more seeds.
+func TestRestartsPushNobodyOver(t *testing.T) {
+	seeds := uint64(40)
+	if n, err := strconv.ParseUint(os.Getenv("RESTART_SEEDS"), 10, 32); err == nil {
+		seeds = n
+	}
+	pushed := make([]int, seeds)
+	var all sync.WaitGroup
+	next := make(chan uint64)
+	for range runtime.GOMAXPROCS(0) {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for seed := range next {
+				at := 6*second + Time(seed*7919%16000)*1000
+				pushed[seed] = outageWithRestart(t, 3, 1000+seed, at, true, true).pushed
+			}
+		}()
+	}
+	for seed := range seeds {
+		next <- seed
+	}
+	close(next)
+	all.Wait()
+	bad := 0
+	for seed, n := range pushed {
+		if n > 0 {
+			bad++
+			t.Logf("seed %d: %d windows over", seed, n)
+		}
+	}
+	if bad > 0 {
+		t.Errorf("pushed over on %d of %d seeds", bad, seeds)
+	}
+}
+
 // A verdict that rests on refusals in a row alone is a ramp after the gap: the
 // destination answered. One that rests on silence, or is on its ramp, stays.
 func TestRecallOfWhatRefused(t *testing.T) {
--- a/internal/core/herd_test.go
+++ b/internal/core/herd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -33,7 +34,15 @@
 	log     *book
 	members []Member
 	shut    map[decide.Endpoint]bool
-	rev     int
+
+	file      []byte // what was learned, as it lies beside the log
+	fileAt    int64
+	fileBase  int64        // moment 0 of the clock of the process that wrote it
+	stirred   uint64       // as of the file
+	waits     map[int]told // what destinations have told
+	forgets   bool         // no file is read: waits end with the process
+	heldWaits int          // starts that had a wait to keep
+	rev       int
 
 	msgs      map[string]*owedMessage
 	downs     [][2]int64 // from a kill to the next start
@@ -44,9 +53,10 @@
 type owedMessage struct {
 	class      string
 	sent, due  int64 // by the client
-	heard      bool  // the client has +OK, in its time
-	left       bool  // it gave up before
-	resumed    bool  // an earlier process had it in its log
+	heardAt    int64
+	heard      bool // the client has +OK, in its time
+	left       bool // it gave up before
+	resumed    bool // an earlier process had it in its log
 	refused    bool
 	ran        int     // how often its effect took place
 	lastRan    int64   // when, first
@@ -59,6 +69,9 @@
 	unanswered bool // its relay died under it
 }
 
+// told is a wait.
+type told struct{ at, until int64 }
+
 type moment struct {
 	at  int64
 	n   int
@@ -174,6 +187,24 @@
 		return
 	}
 	next.Await()
+	if h.forgets {
+		h.file, h.waits = nil, map[int]told{}
+	} else if h.file != nil {
+		l := &Learned{}
+		if err := json.Unmarshal(h.file, l); err != nil {
+			h.failf("%v", err)
+		}
+		if !h.do(next.Recall(h.clock(), l, h.fileBase-h.base, nil)) {
+			return
+		}
+	}
+	for dest, w := range h.waits { // what was told after the last write is forgotten
+		if w.at > h.fileAt {
+			delete(h.waits, dest)
+		} else if w.until > h.now {
+			h.heldWaits++
+		}
+	}
 	if !h.do(next.Restore(h.clock(), owed, nil, 0, nil)) {
 		return
 	}
@@ -211,7 +242,17 @@
 	}
 	events := h.events
 	h.events = nil
-	return h.do(h.core.Step(h.clock(), events, nil))
+	if !h.do(h.core.Step(h.clock(), events, nil)) {
+		return false
+	}
+	if h.core.Stirred() != h.stirred && h.now >= h.fileAt+250e3 && h.write() {
+		text, err := json.Marshal(h.core.Learn(h.clock()))
+		if err != nil {
+			h.failf("%v", err)
+		}
+		h.file, h.fileAt, h.fileBase, h.stirred = text, h.now, h.base, h.core.Stirred()
+	}
+	return h.core != nil
 }
 
 // do carries effects out in their order, as the drivers do.
@@ -273,7 +314,7 @@
 		return
 	}
 	tell := func() {
-		m.heard = true
+		m.heard, m.heardAt = true, h.now
 		h.events = append(h.events, Event{Kind: Said, Request: q, OK: true})
 	}
 	if wait == 0 {
@@ -293,6 +334,15 @@
 	if h.shut[c.Endpoint] || ep.cell != c.Rec.Dest {
 		h.failf("%s for %d is sent to %s of %d", c.Rec.ID, c.Rec.Dest, ep.id, ep.cell)
 	}
+	if w := h.waits[c.Rec.Dest]; h.now < w.until { // what was decided before it came, the gate stops
+		if h.now <= w.at+200e3 || h.now-m.heardAt < 150e3 {
+			h.here(0, func() {
+				h.events = append(h.events, Event{Kind: Finished, Call: c, Result: &Result{What: decide.NotSent, Wait: w.until - h.now}})
+			})
+			return
+		}
+		h.failf("%s goes to %d, %d ms before the end of a wait that was told %d ms ago", c.Rec.ID, c.Rec.Dest, (w.until-h.now)/1000, (h.now-w.at)/1000)
+	}
 	if rec := h.log.live[c.Rec.ID]; rec == nil || rec.Out == 0 {
 		h.failf("%s is sent before the log has the attempt", c.Rec.ID)
 	}
@@ -319,7 +369,16 @@
 			h.events = append(h.events, Event{Kind: Finished, Call: c, Result: &Result{What: decide.Delivered, Status: 200, Settled: true, Took: took}})
 		})
 	case k == 5:
-		end(&Result{What: decide.Full, Status: 429, Wait: decide.Time(h.rng.IntN(500e3))})
+		wait := int64(h.rng.IntN(500e3))
+		if h.rng.IntN(3) == 0 {
+			wait = int64(h.rng.IntN(4e6))
+		}
+		h.here(took, func() {
+			if w := h.waits[c.Rec.Dest]; h.now+wait > w.until {
+				h.waits[c.Rec.Dest] = told{h.now, h.now + wait}
+			}
+			h.events = append(h.events, Event{Kind: Finished, Call: c, Result: &Result{What: decide.Full, Status: 429, Wait: wait, Took: took}})
+		})
 	case k == 6:
 		end(&Result{What: decide.NoConnect})
 	case k == 7:
@@ -390,7 +449,8 @@
 }
 
 func playHerd(t *testing.T, seed uint64) (h *herd, taken int) {
-	h = &herd{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 39)), log: &book{live: map[string]*Record{}}, msgs: map[string]*owedMessage{}, killAfter: -1}
+	h = &herd{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 39)), log: &book{live: map[string]*Record{}}, msgs: map[string]*owedMessage{}, killAfter: -1,
+		waits: map[int]told{}, forgets: seed%10 == 9}
 	h.now = 1e15
 	for i := range 6 {
 		h.members = append(h.members, Member{ID: fmt.Sprintf("s%d", i), HostPort: fmt.Sprintf("10.0.0.%d:1", i), Locality: "a", Flavor: "k", Cell: 1 + i%3, Phase: Up, Size: 40})
@@ -467,15 +527,18 @@
 	if n, err := strconv.ParseUint(os.Getenv("HERD_SEEDS"), 10, 32); err == nil {
 		seeds = n
 	}
-	kills, taken := 0, 0
+	kills, taken, waits := 0, 0, 0
 	for seed := range seeds {
 		h, n := playHerd(t, seed)
-		kills, taken = kills+h.kills, taken+n
+		kills, taken, waits = kills+h.kills, taken+n, waits+h.heldWaits
+	}
+	if waits < int(seeds)/4 {
+		t.Errorf("only %d starts had a wait to keep", waits)
 	}
 	if kills < int(seeds) || taken < 50*int(seeds) {
 		t.Errorf("only %d kills, %d messages taken on", kills, taken)
 	}
-	t.Logf("%d days, %d kills, %d messages taken on", seeds, kills, taken)
+	t.Logf("%d days, %d kills, %d messages taken on, %d waits kept across a start", seeds, kills, taken, waits)
 }
 
 // Thousands that are owed at a start, half of them due already and the others in
