An upgrade does not bring back what had drained, and the keeper is simpler

Cause, found on reading the whole change once more. firstList (loop.go) put the configuration's list before what discovery said, and Run booked that behind the list that was handed over, or behind a newer one that was learned: an endpoint that had drained since the configuration was written was up again until discovery spoke. The hand-over had this before; learned state made a second way.

Change. firstList returns what was heard alone; the configuration's list is booked only where no newer one is known. The keeper's flag is the loop's own and needs no atomic; a disk that fails is told once until a write succeeds, not at each try.

--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -539,3 +539,34 @@
 		}
 	})
 }
+
+// The list in the configuration may be older than what the process before has
+// heard: an endpoint that drained is not sent to because that one names it.
+func TestUpgradeKeepsADrain(t *testing.T) {
+	gone, stays := newFakeEndpoint(t, nil), newFakeEndpoint(t, nil)
+	d := newFakeDiscovery(t)
+	d.set(func(d *fakeDiscovery) { d.mute = true })
+	drains := gone.member("s-1", 1)
+	env := testConfig(t, d, 3, drains, stays.member("s-2", 1))
+	now := firstOf(t, env)
+	drains.Phase = core.Draining
+	line, err := json.Marshal(List{Revision: 9, Members: []core.Member{drains}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.say(t, string(line))
+	waitFor(t, "the drain", func() bool { return figures(t, now.console())["cluster_unhealthy"] == 1 })
+	d.set(func(d *fakeDiscovery) { d.silent = true })
+	upgrade(t, now)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	for i := range 12 {
+		id := fmt.Sprintf("m%d", i)
+		if s := cl.put(id, fields("plain", 20000, 1), nil); s != "+OK" {
+			t.Fatal(s)
+		}
+		waitFor(t, "the call of "+id, func() bool { return gone.count(id)+stays.count(id) == 1 })
+		if gone.count(id) > 0 {
+			t.Errorf("%s went to who has drained", id)
+		}
+	}
+}
--- a/internal/relay/keep.go
+++ b/internal/relay/keep.go
@@ -4,7 +4,6 @@
 	"errors"
 	"os"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"troutusher/decide"
@@ -19,7 +18,7 @@
 	store  *learned.Store
 	pace   *learned.Pace
 	boot   string
-	busy   atomic.Bool
+	busy   bool      // a write is under way
 	wrote  chan int  // its bytes; -1 where it failed
 	failed bool      // that was told
 	seen   [2]uint64 // what it has
@@ -72,15 +71,11 @@
 	}
 	select {
 	case n := <-k.wrote:
-		k.busy.Store(false)
-		if n >= 0 {
-			k.pace.Wrote(now, n, k.seen[0], k.seen[1])
-		} else {
-			k.pace.Wrote(now, 0, k.seen[0], k.seen[1]) // the next change tries again, not the next step
-		}
+		k.busy = false
+		k.pace.Wrote(now, max(n, 0), k.seen[0], k.seen[1]) // where it failed, the next change tries again, not the next step
 	default:
 	}
-	if k.busy.Load() {
+	if k.busy {
 		return now + 50e3
 	}
 	due, again := k.pace.Due(now, k.r.core.Stirred(), k.r.core.Moved())
@@ -88,7 +83,7 @@
 		return again
 	}
 	f := k.file(now, false)
-	k.busy.Store(true)
+	k.busy = true
 	go func() { k.wrote <- k.write(f) }()
 	return now + 50e3
 }
@@ -106,7 +101,7 @@
 		n, err = k.store.Write(f)
 	}
 	if err != nil {
-		if !k.failed || !errors.Is(err, learned.ErrTooLong) {
+		if !k.failed {
 			k.r.log.Warn("learned: not written", "err", err)
 		}
 		k.failed = true
@@ -122,9 +117,9 @@
 		return
 	}
 	k.stop = true
-	if k.busy.Load() {
+	if k.busy {
 		<-k.wrote
-		k.busy.Store(false)
+		k.busy = false
 	}
 }
 
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -284,11 +284,11 @@
 }
 
 // firstList is the same for a process that is to take over from another one,
-// which serves meanwhile.
+// which serves meanwhile, or that has no list: it returns what was heard. The list
+// in the configuration is not among it, since the other's is newer.
 func (r *Relay) firstList() (lists []core.Event) {
 	limit := time.NewTimer(firstList)
 	defer limit.Stop()
-	lists = r.knownList()
 	first := r.discovery.first
 	if r.cfg.Known == nil {
 		first = nil // without any list there is nothing to serve on
