Stand-ins are measured over whole windows of their own clock, not from the callers' start

The 21 too many are calls of an eleventh window: windows lie on the stand-in's clock, the measured five seconds began when the callers did, and ended as far inside a further window as they came late. Checked: with the callers 150 ms late the old test fails each time (660 at endpoint 2, 1,442 of 1,400 at the cold one, whose ramp had begun before), and passes with them 2 ms late.

Change: callers, span and the end of the outage begin at one whole second of the stand-ins' clock. The figures wanted and their 3% stand.

Measured: with the same 150 ms planted 600, 600, 1,398 and 1,998; four plays without it the same to within two calls.

--- a/internal/standin/partner/h1/server_test.go
+++ b/internal/standin/partner/h1/server_test.go
@@ -297,12 +297,11 @@
 
 func (c *conn) CloseWrite() { c.Conn.(*net.TCPConn).CloseWrite() }
 
-// load keeps a number of calls out at once for a span, and returns how many
-// were delivered each second.
-func (r *rig) load(ctx context.Context, ep, callers int, span time.Duration) []float64 {
+// load keeps a number of calls out at once for a span from an instant on, and
+// returns how many were delivered each second.
+func (r *rig) load(ctx context.Context, ep, callers int, began time.Time, span time.Duration) []float64 {
 	var mu sync.Mutex
 	per := make([]float64, int(span/time.Second)+2)
-	began := time.Now()
 	var wg sync.WaitGroup
 	for i := range callers {
 		wg.Add(1)
@@ -314,6 +313,7 @@
 			}
 			defer c.Close()
 			x := &conn{c, bufio.NewReader(c)}
+			<-time.After(time.Until(began))
 			for n := 0; time.Since(began) < span && ctx.Err() == nil; n++ {
 				x.send(fmt.Sprintf("m%d-%d", i, n))
 				resp, err := x.answer(10 * time.Second)
@@ -355,8 +355,11 @@
 	r := start(t, capacity, rate, window, cold)
 	f := &partner.Fault{Kind: partner.Full}
 	r.s.Do(func(w *partner.World, now partner.Time) { w.Begin(now, 3, f) })
-	r.s.Do(func(w *partner.World, now partner.Time) { w.End(now, 3, f) })
 	const span = 5 * time.Second
+	// The windows of a limit are counted on the stand-ins' clock, so the span
+	// begins and ends with one: else it holds a part of an eleventh, as large as
+	// the callers came late.
+	began := r.began.Add((time.Since(r.began)/time.Second + 1) * time.Second)
 	// Enough wait in the queues of those that are measured by what they can do
 	// to bridge a moment in which this machine does other things.
 	callers := []int{60, 6, 6, 60}
@@ -368,7 +371,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			got := r.load(t.Context(), ep, callers[ep], span)
+			got := r.load(t.Context(), ep, callers[ep], began, span)
 			all, wanted := 0.0, 0.0
 			for i := range want {
 				all, wanted = all+got[i], wanted+want[i]
@@ -377,6 +380,8 @@
 			figures[ep] = figure{all, wanted}
 		}()
 	}
+	<-time.After(time.Until(began))
+	r.s.Do(func(w *partner.World, now partner.Time) { w.End(now, 3, f) })
 	wg.Wait()
 	late, err := r.s.Late(99)
 	if err != nil {
