A test of the stand-ins waits for the event that it wants to see last

Seen: with the whole suite on two cores and a busy machine, TestWorksOnAfterItsCallerLeft failed once in three runs: "call over" was missing. It waited for the effect, and the event behind it is told a moment later by the same stand-in.

Change: it waits for that event.

--- a/internal/standin/partner/h1/server_test.go
+++ b/internal/standin/partner/h1/server_test.go
@@ -209,7 +209,7 @@
 	c.send("m1")
 	r.wait("the call", func() bool { return len(r.seen) > 1 })
 	c.Close()
-	r.wait("its effect", func() bool { return r.ran["m1"] == 1 })
+	r.wait("its effect and its end", func() bool { return r.ran["m1"] == 1 && r.seen[len(r.seen)-1].Kind == trace.CallOver })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	order := ""
