Quiet destinations rest in a compact store and wake with what was learned

Need: a relay keeps for good what it knows of each destination that a list names: some 955 bytes in the decision module for one endpoint, more beside it in core and driver, and steps look through sorted slices of all of them. With a million quiet partners that is gigabytes.

Change: beyond 1,024 destinations, one that has been quiet for 60 s (both the operator's to set) is put away. internal/dormant packs its endpoints and what was learned into one record of a chunk; two tables of open addressing find it by destination and by an endpoint's id. What may rest, what ages and what a woken one gets is decide's word (age.go): none with a wait in force, none with calls counted in the last 10 s; one that nobody has heard of for four ramps may have been out and is on a ramp from then, over all its routes. The first message wakes one before the policy sees it. Lists reach who rests without waking it; hand-over and the learned file take along what they need; a destination that has had no endpoint for half an hour is forgotten.

Found by them on the way: destinations without endpoints lost at a hand-over; a route's wait lost by way of another destination, so none with a wait rests; an endpoint awake while its destination rests.

--- a/decide/age.go
+++ b/decide/age.go
@@ -2,7 +2,9 @@
 
 import "slices"
 
-// What a restart makes of what was learned. Every rule errs towards caution where an outage may have ended, and
+const quietRamps = 4 // unheard for so many ramps: an outage may have come and gone, and its end be on its ramp
+
+// What a restart, or a long rest, makes of what was learned. Every rule errs towards caution where an outage may have ended, and
 // towards the default where a figure is merely old; a wait never shortens.
 
 // Recall takes over what an earlier process of this relay had written before it ended, maybe without a word. Its
@@ -43,3 +45,79 @@
 	}
 	p.Import(now, &c, shift)
 }
+
+// Quiet reports whether a destination may be put away: nothing waits for it, nothing is out there, no wait is in
+// force, no identity is waited for, and what was counted of it has aged out. An outage is no obstacle: it is kept.
+func (p *Policy) Quiet(now Time, id int) bool {
+	d := p.known(id)
+	if d == nil || len(d.queue) > 0 || d.flying > 0 {
+		return d == nil
+	}
+	for _, l := range d.lanes {
+		if l.waitUntil > now {
+			return false
+		}
+		if l.hist.hasStart {
+			if requests, accepts := l.hist.totals(max(now, p.now)); requests > 0 || accepts > 0 {
+				return false
+			}
+		}
+		if slices.ContainsFunc(l.eps, func(ep *endpoint) bool { return ep.barred > now }) {
+			return false
+		}
+	}
+	return true
+}
+
+// PutAway forgets a destination that is quiet, and returns what should be known of it as it comes back: an
+// EvList brings it. There are no lanes in it where nothing was learned. What a gap as long as the history makes
+// of a memory is made of it here.
+func (p *Policy) PutAway(now Time, id int) *Memory {
+	p.now = max(now, p.now)
+	m := &Memory{Now: p.now}
+	d := p.known(id)
+	if d == nil {
+		return m
+	}
+	for _, l := range d.lanes {
+		x := l.memory(p.now)
+		x.Bins, x.Bound, x.Started = nil, false, 0
+		x.Window, x.Boost, x.FullRun, x.FullAt, x.PauseUntil, x.WaitUntil = 1, 1, 0, 0, 0, 0
+		if p.set.RatesListed {
+			x.Nominal = 0 // the list has it
+		}
+		learned := x.Nominal > 0 || x.Limit > 0 || x.Cut > 0 || x.Lat.N > 0
+		for j := range x.Endpoints {
+			e := &x.Endpoints[j]
+			if !e.Sick {
+				e.Score, e.RestUntil, e.Budget, e.Need = 0, 0, BucketMemory{}, 0
+			}
+			learned = learned || e.Sick || e.OkAt > 0 || e.BadAt > 0
+		}
+		if learned {
+			m.Lanes = append(m.Lanes, x)
+		}
+	}
+	p.drop(d)
+	return m
+}
+
+// wake takes back what PutAway gave of destinations whose endpoints have just joined. Nothing is saved up for
+// them: what they get in their first moment goes one by one. One of which nobody has heard for long, or ever,
+// may have been out and come back: it is on a ramp from now, and gets what it bears cold, over all its routes.
+func (p *Policy) wake(e *Event) {
+	p.importLanes(e.Memory, 0)
+	for i := range e.Entries {
+		ep := p.eps[e.Entries[i].Endpoint]
+		if ep == nil || ep.state == Gone {
+			continue
+		}
+		if l := ep.lane; l.nominal+l.limit > 0 {
+			l.tokens = bucket{p.now, 1, true}
+		}
+		if !ep.sick && p.set.RampTime > 0 && (ep.okAt == 0 || p.now-ep.okAt > quietRamps*p.set.RampTime) {
+			ep.sick, ep.mute, ep.goodAt, ep.goodSent = true, false, p.now, p.now
+			ep.firstBad, ep.badAt, ep.budget, ep.need = p.now, p.now, bucket{}, 1
+		}
+	}
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -146,7 +146,7 @@
 
 // Kinds of event, each with the fields of Event that it uses.
 const (
-	EvList     EventKind = iota // news of the list: List, Entries
+	EvList     EventKind = iota // news of the list: List, Entries, Memory
 	EvMessage                   // a new message: Message, Key, Left, Class, Dest, Tenant, Work, Tries, DoubtAt, DoubtIn, Worth, SentAt, SentTo, Resumed
 	EvBegun                     // an answer has begun to flow: Message, Attempt
 	EvOutcome                   // an attempt is over: Message, Attempt, Endpoint, Outcome, Wait, Slots, Opened, Took, Settled, Load
@@ -235,6 +235,9 @@
 	Took     Time
 	Load     Load
 	Entries  []Entry
+	// EvList: the entries are of destinations that had been put away, and this is
+	// what PutAway gave of them; nil where the entries are not of such.
+	Memory *Memory
 
 	// EvMessage, of a message that an earlier process took on: its attempts so
 	// far, the send of the first of them that may have run (0 for none) and its zone.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -122,6 +122,9 @@
 		}
 		p.touch(ep.lane.dest)
 	}
+	if e.Memory != nil {
+		p.wake(e)
+	}
 	if e.List == ListFull || e.List == ListCached {
 		for id, ep := range p.eps { // each leaves by itself: the order does not matter
 			if !seen[id] {
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -87,6 +87,26 @@
 	return max(t+shift, 1)
 }
 
+// memory shows what is known of a lane by now.
+func (l *lane) memory(now Time) LaneMemory {
+	x := LaneMemory{Dest: l.dest.id, Window: l.window, WaitUntil: l.waitUntil, PauseUntil: l.pauseUntil, Nominal: l.nominal,
+		Limit: l.limit, Boost: l.boost, Cut: l.cut, CutAt: l.cutAt, Tokens: l.tokens.memory(), Bound: l.bound, FullRun: l.fullRun, FullAt: l.fullAt, Lat: l.lat.memory()}
+	if l.hist.hasStart {
+		l.hist.roll(now)
+		n := Time(len(l.hist.bins))
+		for i := range n {
+			x.Bins = append(x.Bins, l.hist.bins[(l.hist.at+1+i)%n])
+		}
+		x.Started = l.hist.started
+	}
+	for _, ep := range l.eps {
+		x.Endpoints = append(x.Endpoints, EndpointMemory{ID: ep.id, RestUntil: ep.restUntil, Score: ep.score, Sick: ep.sick,
+			FirstBad: ep.firstBad, BadAt: ep.badAt, GoodAt: ep.goodAt, GoodSent: ep.goodSent, OkAt: ep.okAt,
+			Budget: ep.budget.memory(), Need: ep.need, Mute: ep.mute, Lat: ep.lat.memory()})
+	}
+	return x
+}
+
 // Export shows what the policy has learned by now.
 func (p *Policy) Export(now Time) *Memory {
 	m := &Memory{Now: now, Tight: slices.Clone(p.tight), Lat: p.lat.memory()}
@@ -95,22 +115,7 @@
 	}
 	for _, d := range p.dests {
 		for _, l := range d.lanes {
-			x := LaneMemory{Dest: d.id, Window: l.window, WaitUntil: l.waitUntil, PauseUntil: l.pauseUntil, Nominal: l.nominal,
-				Limit: l.limit, Boost: l.boost, Cut: l.cut, CutAt: l.cutAt, Tokens: l.tokens.memory(), Bound: l.bound, FullRun: l.fullRun, FullAt: l.fullAt, Lat: l.lat.memory()}
-			if l.hist.hasStart {
-				l.hist.roll(now)
-				n := Time(len(l.hist.bins))
-				for i := range n {
-					x.Bins = append(x.Bins, l.hist.bins[(l.hist.at+1+i)%n])
-				}
-				x.Started = l.hist.started
-			}
-			for _, ep := range l.eps {
-				x.Endpoints = append(x.Endpoints, EndpointMemory{ID: ep.id, RestUntil: ep.restUntil, Score: ep.score, Sick: ep.sick,
-					FirstBad: ep.firstBad, BadAt: ep.badAt, GoodAt: ep.goodAt, GoodSent: ep.goodSent, OkAt: ep.okAt,
-					Budget: ep.budget.memory(), Need: ep.need, Mute: ep.mute, Lat: ep.lat.memory()})
-			}
-			m.Lanes = append(m.Lanes, x)
+			m.Lanes = append(m.Lanes, l.memory(now))
 		}
 	}
 	return m
@@ -129,6 +134,11 @@
 			p.tenants[i] = t.bucket(shift)
 		}
 	}
+	p.importLanes(m, shift)
+}
+
+// importLanes takes over what binds destinations.
+func (p *Policy) importLanes(m *Memory, shift Time) {
 	for i := range m.Lanes {
 		x := &m.Lanes[i]
 		var l *lane
--- a/decide/state.go
+++ b/decide/state.go
@@ -145,6 +145,27 @@
 	return p.dests[at]
 }
 
+// known finds a destination; nil where there is none.
+func (p *Policy) known(id int) *dest {
+	at, ok := slices.BinarySearchFunc(p.dests, id, func(d *dest, id int) int { return d.id - id })
+	if !ok {
+		return nil
+	}
+	return p.dests[at]
+}
+
+// drop forgets a destination for which nothing waits. What was put off for it finds nothing to do.
+func (p *Policy) drop(d *dest) {
+	for _, l := range d.lanes {
+		for _, ep := range l.eps {
+			if ep.state = Gone; p.eps[ep.id] == ep {
+				delete(p.eps, ep.id)
+			}
+		}
+	}
+	p.dests = slices.DeleteFunc(p.dests, func(x *dest) bool { return x == d })
+}
+
 // resume gives a message that an earlier process took on its past back. It may have nothing left but its end.
 func (p *Policy) resume(m *message, e *Event) {
 	if m.tries = e.Tries; m.tries > 0 {
--- a/internal/core/carry.go
+++ b/internal/core/carry.go
@@ -106,9 +106,12 @@
 func (r *Core) Carry(now decide.Time) *Carried {
 	r.now = max(now, r.now)
 	c := &Carried{Policy: r.policy.Export(r.now), Members: r.carriedMembers(), Waits: r.carriedWaits()}
+	members, lanes := r.resting(true)
+	c.Members, c.Policy.Lanes = append(c.Members, members...), append(c.Policy.Lanes, lanes...)
 	for dest := range r.named {
 		c.Named = append(c.Named, dest)
 	}
+	c.Named = append(c.Named, r.departed()...)
 	slices.Sort(c.Named)
 	held := make([]*message, 0, len(r.msgs))
 	for _, m := range r.msgs {
@@ -165,13 +168,17 @@
 	}
 	r.list(l, decide.ListCached)
 	for _, dest := range c.Named {
-		r.named[dest] = true
+		if !r.asleep(dest) {
+			r.named[dest] = true
+			r.rest.roster.Stir(dest, r.now)
+		}
 	}
-	r.step() // the policy knows the endpoints from here on
 	p := c.Policy
 	if p == nil {
 		p = &decide.Memory{}
 	}
+	r.wakeAll(p)
+	r.step() // the policy knows the endpoints from here on
 	r.inherit(p, c.Members, shift)
 	for _, ep := range r.endpoints {
 		if ep.waitUntil > 0 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,6 +17,7 @@
 	"slices"
 
 	"troutusher/decide"
+	"troutusher/internal/dormant"
 	"troutusher/internal/story"
 	"troutusher/internal/tally"
 )
@@ -44,6 +45,8 @@
 	Tenants map[string]int
 	// Stories is how many messages a second the log tells of from their hand-in on.
 	Stories int
+	// Rest says which destinations rest; the zero value is for none.
+	Rest dormant.Limits
 	// Opening is what a connection to a destination of a flavour takes there,
 	// in calls; nil where that costs nothing anywhere. It must not change.
 	Opening func(dest int, flavor string) float64
@@ -142,6 +145,7 @@
 	Hold                                // Endpoint, Until: nothing goes there before, nor to what shares its wait
 	CloseIdle                           // Endpoint: its idle connections are of no more use
 	Forget                              // Endpoint
+	Rest                                // Dest: nothing is kept of it; what binds it is told again as it wakes
 	Tell                                // Level, Text, Args: for the log of the process
 	Again                               // step again, also if nothing happens
 )
@@ -238,6 +242,8 @@
 	byNum     map[decide.Endpoint]*endpoint
 	named     map[int]bool        // destinations that a list has named
 	waits     map[int]decide.Time // ends of the waits that destinations have told
+	rest      rests
+	listing   bool // a whole list is being booked
 	events    []decide.Event
 	actions   []decide.Action
 	later     []Event // for the next step
@@ -266,7 +272,8 @@
 	}
 	return &Core{set: s, policy: policy, msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*Request]*message{},
 		byID: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, named: map[int]bool{}, waits: map[int]decide.Time{},
-		ends: make([]Ends, len(s.Policy.Classes)), tally: tally.New(), stories: story.NewBudget(s.Stories)}, nil
+		ends: make([]Ends, len(s.Policy.Classes)), tally: tally.New(), stories: story.NewBudget(s.Stories),
+		rest: rests{roster: dormant.NewRoster(s.Rest), wary: map[int]bool{}}}, nil
 }
 
 // Ends are how many messages of a class ended in each way: delivered; refused
@@ -291,6 +298,9 @@
 			}
 		}
 	}
+	if s := r.rest.store; s != nil {
+		listed, avoided = listed+s.Endpoints(), avoided+s.Draining()
+	}
 	return listed, avoided
 }
 
@@ -318,7 +328,12 @@
 func (r *Core) Waiting() int { return len(r.waiting) }
 
 // Endpoints is how many endpoints are known.
-func (r *Core) Endpoints() int { return len(r.endpoints) }
+func (r *Core) Endpoints() int {
+	if s := r.rest.store; s != nil {
+		return len(r.endpoints) + s.Endpoints()
+	}
+	return len(r.endpoints)
+}
 
 // Stopping tells whether it is to end, and for how long.
 func (r *Core) Stopping(now decide.Time) (decide.Time, bool) { return now - r.stopAt, r.stopping }
@@ -368,6 +383,7 @@
 	if len(r.events) > 0 {
 		r.step()
 	}
+	r.putAway()
 	if args := r.tally.Turn(r.wall(r.now)); args != nil {
 		r.tell(slog.LevelInfo, tally.Line, args...)
 	}
@@ -403,7 +419,9 @@
 		e := decide.Event{Kind: decide.EvMessage, Message: m.num, Class: class, Dest: rec.Dest, Tenant: -1,
 			Left: r.fromWall(rec.Deadline) - r.now, Tries: rec.Tries, DoubtIn: rec.DoubtIn,
 			Resumed: carried == nil}
+		r.rouse(rec.Dest)
 		r.named[rec.Dest] = true // once, or it would not have been taken on
+		r.rest.roster.Stir(rec.Dest, r.now)
 		if w, ok := worth[rec.ID]; ok {
 			e.Worth = w // its tenant's share was asked already
 		} else if t, ok := r.set.Tenants[rec.Tenant]; ok {
@@ -501,7 +519,7 @@
 	case old != nil:
 		r.answer(q, Reply{Fault: errors.New("id is being handed in already")})
 		return
-	case len(r.named) > 0 && !r.named[q.Rec.Dest]:
+	case len(r.named) > 0 && !r.knows(q.Rec.Dest):
 		// It would be held for nothing, and the policy keeps each destination
 		// for good. One whose endpoints are only gone for now has been named.
 		r.count(q.Rec.Class, errored)
@@ -513,6 +531,8 @@
 		r.answer(q, Reply{})
 		return
 	}
+	r.rouse(q.Rec.Dest)
+	r.rest.roster.Stir(q.Rec.Dest, r.now)
 	m := r.newMessage(q.Rec)
 	m.req = q
 	if m.told = r.stories.Take(r.wall(r.now)); !m.told {
@@ -609,15 +629,33 @@
 	e := decide.Event{Kind: decide.EvList, List: kind}
 	r.rev = l.Revision
 	r.stirred++
-	seen := map[string]bool{}
+	seen := map[string]bool{} // of those that are awake
+	r.listing = kind != decide.ListChange
+	for i := range l.Members {
+		if x := &l.Members[i]; x.Phase != Removed && r.byID[x.ID] != nil {
+			r.attend(x.Cell) // an endpoint that is known moves among those that are awake
+		}
+	}
+	if s := r.rest.store; s != nil && r.listing {
+		s.Begin()
+	}
 	for i := range l.Members {
 		x := &l.Members[i]
 		if x.Check() != nil {
 			continue // in the configuration's list; discovery's is checked already
 		}
-		seen[x.ID] = true
-		e.Entries = append(e.Entries, r.member(x))
+		if entry, awake := r.news(x); awake {
+			seen[x.ID] = true
+			e.Entries = append(e.Entries, entry)
+		}
+	}
+	if s := r.rest.store; s != nil && r.listing {
+		for _, dest := range s.End() {
+			r.departs(dest)
+		}
 	}
+	r.forgetDeparted()
+	r.listing = false
 	if kind != decide.ListChange {
 		for _, ep := range r.endpoints {
 			if !seen[ep.id] {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -38,6 +38,8 @@
 	log     *book   // where one is kept
 	driver  *driver // where calls go out in pieces
 	flavors []string
+	long    int // one step in so many takes 11 to 31 s; 0 for none
+	rested  int // destinations that were put away
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -149,6 +151,16 @@
 			if w.driver != nil {
 				w.driver.shut(e.Endpoint)
 			}
+		case Forget:
+			if w.driver != nil {
+				w.driver.forget(e.Endpoint)
+			}
+		case Rest:
+			fmt.Fprintf(&w.trace, " %d", e.Dest)
+			w.rested++
+			if w.driver != nil {
+				delete(w.driver.scopes, fmt.Sprintf("dest %d", e.Dest))
+			}
 		case Hold:
 			fmt.Fprintf(&w.trace, " %d %d", e.Endpoint, e.Until)
 			if d := w.driver; d != nil && d.homes[e.Endpoint] != nil {
@@ -169,6 +181,9 @@
 func (w *world) playFrom(first, steps int) string {
 	for i := first; i < first+steps; i++ {
 		w.now += decide.Time(w.rng.IntN(20e3))
+		if w.long > 0 && w.rng.IntN(w.long) == 0 {
+			w.now += decide.Time(11e6 + w.rng.IntN(20e6))
+		}
 		if w.driver != nil {
 			w.driver.turn()
 		}
@@ -249,7 +264,7 @@
 func TestCoresArePure(t *testing.T) {
 	allowed := strings.Fields("bytes cmp container/heap errors fmt log/slog maps math math/bits math/rand/v2 net slices sort strconv strings")
 	// The gate is asked by many calls at once: it has a lock, and is else like the others.
-	for _, dir := range []string{".", "../places", "../resp", "../wheel", "../duty", "../takeover", "../gate", "../tlspolicy", "../source/registry", "../tally", "../story", "../../decide"} {
+	for _, dir := range []string{".", "../places", "../resp", "../wheel", "../duty", "../takeover", "../gate", "../tlspolicy", "../source/registry", "../tally", "../story", "../dormant", "../../decide"} {
 		allowed := allowed
 		if dir == "../gate" {
 			allowed = append([]string{"sync"}, allowed...)
@@ -257,6 +272,12 @@
 		if dir == "../tlspolicy" { // its values are certificates and times; the clock and the system's roots stay out
 			allowed = append(strings.Fields("container/list crypto/ecdsa crypto/ed25519 crypto/rsa crypto/sha256 crypto/x509 encoding/asn1 encoding/base64 encoding/binary golang.org/x/crypto/ocsp time"), allowed...)
 		}
+		if dir == "." { // pure functions over bytes
+			allowed = append(strings.Fields("github.com/cespare/xxhash/v2 github.com/fxamacker/cbor/v2"), allowed...)
+		}
+		if dir == "../dormant" { // the seed of its hash changes no result: nothing is shown in the order of a table
+			allowed = append(strings.Fields("container/list encoding/binary hash/maphash net/netip"), allowed...)
+		}
 		if dir == "../source/registry" { // spans of time
 			allowed = append([]string{"time"}, allowed...)
 		}
@@ -268,7 +289,7 @@
 			for name, f := range p.Files {
 				for _, i := range f.Imports {
 					path, _ := strconv.Unquote(i.Path.Value)
-					own := strings.HasPrefix(path, "troutusher/") && slices.Contains([]string{"troutusher/decide", "troutusher/internal/story", "troutusher/internal/tally", "troutusher/internal/wheel"}, path)
+					own := strings.HasPrefix(path, "troutusher/") && slices.Contains([]string{"troutusher/decide", "troutusher/internal/dormant", "troutusher/internal/story", "troutusher/internal/tally", "troutusher/internal/wheel"}, path)
 					if !own && !slices.Contains(allowed, path) {
 						t.Errorf("%s imports %s", name, path)
 					}
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -9,6 +9,7 @@
 	Now      decide.Time     `json:"now"`
 	Revision int64           `json:"revision"` // of the list that it goes by
 	Members  []CarriedMember `json:"members"`
+	Partial  bool            `json:"partial,omitempty"` // destinations that rest are left out, but for those that were out
 	Waits    []CarriedWait   `json:"waits,omitempty"`
 	Policy   *decide.Memory  `json:"policy"`
 }
@@ -16,7 +17,10 @@
 // Learn shows what is known by now. It shares nothing with the core.
 func (r *Core) Learn(now decide.Time) *Learned {
 	r.now = max(now, r.now)
-	return &Learned{Now: r.now, Revision: r.rev, Members: r.carriedMembers(), Waits: r.carriedWaits(), Policy: r.policy.Export(r.now)}
+	l := &Learned{Now: r.now, Revision: r.rev, Members: r.carriedMembers(), Waits: r.carriedWaits(), Policy: r.policy.Export(r.now), Partial: r.rest.store != nil}
+	members, lanes := r.resting(false)
+	l.Members, l.Policy.Lanes = append(l.Members, members...), append(l.Policy.Lanes, lanes...)
+	return l
 }
 
 // Stirred counts what a restart should not forget: calls that were not answered
@@ -28,7 +32,7 @@
 
 // List is the list as the core had it; nothing that had drained is up in it.
 func (l *Learned) List() *List {
-	x := &List{Revision: l.Revision, Complete: true}
+	x := &List{Revision: l.Revision, Complete: !l.Partial}
 	for i := range l.Members {
 		x.Members = append(x.Members, l.Members[i].Member)
 	}
@@ -47,9 +51,12 @@
 // name, inherits nothing.
 func (r *Core) Recall(now decide.Time, l *Learned, shift decide.Time, fx []Effect) []Effect {
 	r.now, r.fx = max(now, r.now), fx
+	if l.Policy != nil {
+		r.wakeAll(l.Policy)
+	}
 	r.step() // the policy knows the endpoints from here on
 	for _, w := range l.Waits {
-		if r.named[w.Dest] {
+		if r.knows(w.Dest) {
 			r.waits[w.Dest] = max(r.waits[w.Dest], w.Until+shift)
 		}
 	}
--- /dev/null
+++ b/internal/core/rest_test.go
@@ -0,0 +1,394 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"troutusher/decide"
+	"troutusher/internal/dormant"
+)
+
+// resting is a core like testCore's, whose destinations rest as soon as they may.
+func resting(t *testing.T, l dormant.Limits) *Core {
+	t.Helper()
+	set := testCore(t).set
+	set.Rest = l
+	r, err := New(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// With destinations that rest between any two of their messages: log, answer,
+// send as ever; no byte inside a wait that was told before the rest, at who has
+// left in it, or at another destination; the same effects for the same events;
+// and the same across hand-overs, where each is taken along.
+func TestRestKeepsTheRules(t *testing.T) {
+	rested, sent, kept, woken := 0, 0, 0, 0
+	for seed := range uint64(150) {
+		play := func() *world {
+			w := newWorld(t, seed)
+			w.core = resting(t, dormant.Limits{Awake: 1, After: 10e6})
+			w.flavors, w.long = []string{"k", "r"}, 12
+			w.driver = newDriver(w)
+			w.driver.longer = 45e6
+			b := &book{live: map[string]*Record{}}
+			w.log = b
+			for turn := range 3 {
+				w.playFrom(turn*150, 150)
+				if turn == 2 {
+					break
+				}
+				var before [3]bool
+				for dest := range before {
+					before[dest] = w.core.knows(dest)
+				}
+				w.handOverQuietly(b)
+				for dest := range before {
+					if w.core.knows(dest) != before[dest] {
+						w.failf("destination %d was known: %v", dest, before[dest])
+					}
+				}
+			}
+			return w
+		}
+		w := play()
+		rested += w.rested
+		sent += w.driver.sent
+		kept += w.driver.kept
+		if w.rested > 0 && seed%10 == 0 {
+			if a, b := w.trace.String(), play().trace.String(); a != b {
+				t.Fatalf("seed %d differs", seed)
+			}
+		}
+		woken += int(w.core.lastEnd) - 6
+	}
+	if rested < 1500 || sent < 3000 || kept < 100 || woken < 1000 {
+		t.Errorf("too little was tried: %d put away, %d sent, %d kept back, %d endpoints anew", rested, sent, kept, woken)
+	}
+}
+
+// handOverQuietly brings what is under way to rest and hands over, as the waits'
+// test does.
+func (w *world) handOverQuietly(b *book) {
+	w.core.Cede()
+	for _, c := range slices.Clone(w.driver.calls) {
+		if c.step < 3 {
+			w.driver.end(c, &Result{What: decide.NotSent})
+		}
+	}
+	w.rest()
+	shift := decide.Time(w.rng.Int64N(2e9)) - 1e9
+	d := newDriver(w)
+	for name, until := range w.driver.told {
+		d.told[name] = until + shift
+	}
+	d.sent, d.kept, d.longer, d.asked = w.driver.sent, w.driver.kept, w.driver.longer, w.driver.asked
+	w.driver = d
+	w.handOver(b, shift)
+}
+
+// sends has one message be handed in, and tells when and where it was sent within
+// a span; the call is answered by o.
+func sends(t *testing.T, r *Core, from, until decide.Time, id string, dest int, o *Result) (at decide.Time, ep decide.Endpoint, fx []Effect) {
+	t.Helper()
+	rec := &Record{Kind: Taken, ID: id, Class: "plain", Dest: dest, Deadline: r.wall(until)}
+	events := []Event{{Kind: Put, Request: &Request{Class: 0, Tenant: -1, Rec: rec}}}
+	for now := from; now < until; now += 20e3 {
+		got := r.Step(now, events, nil)
+		fx, events = append(fx, got...), nil
+		for _, e := range got {
+			switch e.Kind {
+			case Answer:
+				if !e.Reply.OK {
+					return 0, 0, fx
+				}
+			case LogThenAnswer:
+				events = append(events, Event{Kind: Said, Request: e.Request, OK: true})
+			case LogThenSend:
+				if at == 0 {
+					at, ep = now, e.Call.Endpoint
+				}
+				events = append(events, Event{Kind: Finished, Call: e.Call, Result: o})
+			}
+		}
+		if at > 0 && len(events) == 0 {
+			return at, ep, fx
+		}
+	}
+	return at, ep, fx
+}
+
+var delivered = &Result{What: decide.Delivered, Status: 200, Settled: true, Took: 1000}
+
+func member(i, dest int, flavor string) Member {
+	return Member{ID: fmt.Sprintf("s-%d", i), HostPort: fmt.Sprintf("127.0.0.1:%d", 7000+i), Locality: "a", Flavor: flavor, Cell: dest, Phase: Up, Size: 40}
+}
+
+// twoWait is a core with destinations 1 to 3, routes apart at 2, of which 1 was told
+// a wait of 100 s and 2's only route one of 90 s a minute ago.
+func twoWait(t *testing.T) (*Core, decide.Time) {
+	t.Helper()
+	r := resting(t, dormant.Limits{Awake: 1, After: 20e6})
+	now := decide.Time(3600e6)
+	r.Step(now, []Event{{Kind: News, News: decide.ListFull, List: &List{Complete: true, Members: []Member{member(3, 3, "k"), member(1, 1, "k"), member(2, 2, "r")}}}}, nil)
+	if n, _ := r.Resting(); n != 2 { // beyond the first, they begin asleep
+		t.Fatalf("%d rest from the start", n)
+	}
+	sends(t, r, now, now+1e6, "a", 1, &Result{What: decide.Full, Status: 429, Wait: 100e6})
+	sends(t, r, now, now+1e6, "b", 2, &Result{What: decide.Full, Status: 429, Wait: 90e6})
+	for at := now + 2e6; at < now+60e6; at += 1e6 {
+		r.Step(at, nil, nil)
+	}
+	if !r.asleep(3) { // which nobody sent to
+		t.Fatal("none rests")
+	}
+	return r, now
+}
+
+// What was told to wait does not rest before the wait is over, and the wait holds:
+// whether its endpoints leave and come back, others join, or the relay is
+// restarted or upgraded. Then it rests.
+func TestWaitOutlastsRest(t *testing.T) {
+	list := func(l ...Member) []Event {
+		return []Event{{Kind: News, News: decide.ListFull, List: &List{Complete: true, Members: l}}}
+	}
+	for name, meanwhile := range map[string]func(r *Core, now decide.Time){
+		"nothing": func(*Core, decide.Time) {},
+		"all leave and come back": func(r *Core, now decide.Time) {
+			r.Step(now, list(member(3, 3, "k")), nil)
+			r.Step(now+1e6, list(member(2, 2, "r"), member(1, 1, "k"), member(3, 3, "k")), nil)
+		},
+		"one joins": func(r *Core, now decide.Time) {
+			r.Step(now, []Event{{Kind: News, News: decide.ListChange, List: &List{Members: []Member{member(9, 1, "k")}}}}, nil)
+		},
+		"a restart": func(r *Core, now decide.Time) {
+			l := &Learned{}
+			again(t, r.Learn(now), l)
+			if !l.Partial || l.List().Complete {
+				t.Error("a list without those that rest is told to be whole")
+			}
+			next := resting(t, dormant.Limits{Awake: 1, After: 20e6})
+			next.Book(now, list(member(3, 3, "k"), member(2, 2, "r"), member(1, 1, "k")), nil)
+			next.Recall(now, l, 0, nil)
+			*r = *next
+		},
+		"an upgrade": func(r *Core, now decide.Time) {
+			c := &Carried{}
+			again(t, r.Carry(now), c)
+			next := resting(t, dormant.Limits{Awake: 1, After: 20e6})
+			next.Restore(now, nil, c, 0, nil)
+			*r = *next
+		},
+	} {
+		r, began := twoWait(t)
+		meanwhile(r, began+62e6)
+		for _, dest := range []int{2, 1} { // the second's clock has come to the end of the first one's wait
+			end := began + map[int]decide.Time{1: 100e6, 2: 90e6}[dest]
+			at, _, _ := sends(t, r, began+65e6, began+120e6, fmt.Sprint("late", dest), dest, delivered)
+			if at < end || at > end+3e6 {
+				t.Errorf("%s: destination %d is sent to %.1f s after the end of its wait", name, dest, float64(at-end)/1e6)
+			}
+		}
+		for at := began + 130e6; at < began+200e6; at += 1e6 {
+			r.Step(at, nil, nil)
+		}
+		if n := r.rest.roster.Len(); n != 1 || len(r.waits) > 1 {
+			t.Errorf("%s: in the end %d are awake, %d waits are kept", name, n, len(r.waits))
+		}
+	}
+}
+
+// again takes a value through JSON, as it lies in files and comes to a new process.
+func again(t *testing.T, from, to any) {
+	t.Helper()
+	text, err := json.Marshal(from)
+	if err == nil {
+		err = json.Unmarshal(text, to)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// What rested under one id and address is what it was; elsewhere, or under another
+// id, nothing is inherited but the destination's own wait.
+func TestRestedElsewhereInheritsNothing(t *testing.T) {
+	r := resting(t, dormant.Limits{Awake: 1, After: 20e6})
+	now := decide.Time(3600e6)
+	r.Step(now, []Event{{Kind: News, News: decide.ListFull, List: &List{Complete: true, Members: []Member{member(9, 9, "k"), member(1, 1, "k"), member(2, 2, "k"), member(3, 3, "k")}}}}, nil)
+	for i := range 3 {
+		sends(t, r, now, now+1e6, fmt.Sprint("a", i), 1+i, &Result{What: decide.NoConnect})
+		sends(t, r, now+2e6, now+3e6, fmt.Sprint("b", i), 1+i, &Result{What: decide.NoConnect})
+	}
+	for at := now + 2e6; at < now+60e6; at += 1e6 {
+		r.Step(at, nil, nil)
+		if at == now+30e6 {
+			sends(t, r, at, at+1e6, "c", 9, delivered)
+		}
+	}
+	if n, _ := r.Resting(); n < 3 || !r.asleep(1) || !r.asleep(2) || !r.asleep(3) {
+		t.Fatalf("%d rest", n)
+	}
+	moved, swapped := member(2, 2, "k"), member(8, 3, "k")
+	moved.HostPort, swapped.HostPort = "127.0.0.1:1", member(3, 3, "k").HostPort
+	gone := member(3, 3, "k")
+	gone.Phase = Removed
+	r.Step(now+60e6, []Event{{Kind: News, News: decide.ListChange, List: &List{Members: []Member{moved, gone, swapped}}}}, nil)
+	for dest, want := range map[int]bool{1: true, 2: false, 3: false} {
+		r.rouse(dest)
+		r.step()
+		for _, ep := range r.endpoints {
+			if ep.cell == dest && ep.listed && r.policy.Avoids(ep.num, r.now) != want {
+				t.Errorf("destination %d: avoided %v, want %v", dest, !want, want)
+			}
+		}
+	}
+}
+
+// Lists of any kind leave the same endpoints known, whoever rests: under each id
+// one, where the list last had it, draining or not.
+func TestListsReachWhoRests(t *testing.T) {
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		r := resting(t, dormant.Limits{Awake: 5, After: 10e6})
+		now := decide.Time(3600e6)
+		want := map[string]Member{}
+		for i := range 120 {
+			l := &List{}
+			kind := decide.ListChange
+			if whole := i == 0 || rng.IntN(6) == 0; whole {
+				kind, l.Complete = decide.ListFull, true
+			}
+			for range rng.IntN(40) {
+				k := rng.IntN(60)
+				m := member(k, (k+rng.IntN(8)/7)%30, "k")
+				m.Phase = []string{Up, Up, Up, Draining, Removed}[rng.IntN(5)]
+				if rng.IntN(10) == 0 {
+					m.HostPort = fmt.Sprintf("127.0.0.1:%d", 9000+k)
+				}
+				if slices.ContainsFunc(l.Members, func(x Member) bool { return x.ID == m.ID }) {
+					continue
+				}
+				l.Members = append(l.Members, m)
+			}
+			if l.Complete {
+				clear(want)
+			}
+			for _, m := range l.Members {
+				delete(want, m.ID)
+				if m.Phase != Removed {
+					want[m.ID] = m
+				}
+			}
+			now += decide.Time(rng.IntN(15e6))
+			r.Step(now, []Event{{Kind: News, News: kind, List: l}}, nil)
+			if rng.IntN(2) == 0 { // somebody wakes
+				sends(t, r, now, now+1e6, fmt.Sprint("m", i), rng.IntN(30), delivered)
+				now += 1e6
+			}
+			got := map[string]Member{}
+			for _, m := range r.Carry(now).Members {
+				if _, twice := got[m.ID]; twice {
+					t.Fatalf("seed %d, list %d: %s is known twice", seed, i, m.ID)
+				}
+				got[m.ID] = m.Member
+			}
+			up := 0
+			for id, m := range want {
+				if _, ok := got[id]; m.Phase == Draining && !ok {
+					continue // what drains is not remembered for long by who is awake
+				}
+				if up++; got[id] != m {
+					t.Fatalf("seed %d, list %d: %s is %+v, want %+v", seed, i, id, got[id], m)
+				}
+				if ep := r.byID[id]; ep != nil && r.asleep(ep.cell) {
+					t.Fatalf("seed %d, list %d: %s is awake, and its destination %d rests %+v", seed, i, id, ep.cell, ep)
+				}
+			}
+			if listed, _ := r.Cluster(); len(got) != up || listed != up {
+				t.Fatalf("seed %d, list %d: %d known and %d listed, want %d", seed, i, len(got), listed, up)
+			}
+		}
+	}
+}
+
+// A destination whose endpoints have all left while it rested is known for half an
+// hour, and then forgotten; nothing of it is left.
+func TestDepartedIsForgotten(t *testing.T) {
+	r := resting(t, dormant.Limits{Awake: 1, After: 20e6})
+	now := decide.Time(3600e6)
+	var all []Member
+	for i := range 200 {
+		all = append(all, member(i, i, "k"))
+	}
+	r.Step(now, []Event{{Kind: News, News: decide.ListFull, List: &List{Complete: true, Members: all}}}, nil)
+	r.Step(now, []Event{{Kind: News, News: decide.ListFull, List: &List{Complete: true, Members: all[:2]}}}, nil)
+	taken := func(at decide.Time, id string, dest int) bool {
+		q := &Request{Tenant: -1, Rec: &Record{ID: id, Class: "plain", Dest: dest, Deadline: r.wall(at + 20e6)}}
+		for _, e := range r.Step(at, []Event{{Kind: Put, Request: q}}, nil) {
+			if e.Kind == Answer && e.Request == q {
+				return false
+			}
+		}
+		return true
+	}
+	if !taken(now+1e6, "soon", 150) {
+		t.Error("refused at once")
+	}
+	for at := now + 1e6; at < now+1900e6; at += 10e6 {
+		r.Step(at, []Event{{Kind: News, News: decide.ListChange, List: &List{}}}, nil)
+	}
+	if taken(now+1900e6, "late", 151) {
+		t.Error("known for good")
+	}
+	if n, _ := r.Resting(); n > 3 || len(r.named) > 3 || len(r.rest.departed) > 3 {
+		t.Errorf("%d rest, %d are named, %d wait to be forgotten", n, len(r.named), len(r.rest.departed))
+	}
+}
+
+// What lies in the store is read with bounds, and gives nothing where it is damaged.
+func FuzzUnpack(f *testing.F) {
+	m := &decide.Memory{Now: 5e9, Lanes: []decide.LaneMemory{{Lat: decide.LatencyMemory{Mean: 3, N: 2},
+		Endpoints: []decide.EndpointMemory{{ID: 1, Sick: true, OkAt: 4e9, BadAt: 5e9}}}}}
+	b, err := pack(m, func(decide.Endpoint) (uint32, bool) { return 7, true })
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add([]byte{0xa2, 1, 0, 2, 0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := unpack(b, 1, func(uint32) decide.Endpoint { return 1 })
+		if m == nil || err != nil && len(m.Lanes) > 0 {
+			t.Errorf("%v, %v", m, err)
+		}
+	})
+}
+
+// Moments, waits and health come back as they were; a wait is never shorter.
+func TestPackedIsUnpacked(t *testing.T) {
+	m := &decide.Memory{Now: 5e9, Lanes: []decide.LaneMemory{{Dest: 3, Window: 1, Boost: 1, Limit: 12.5, Cut: 0.25, CutAt: 4e9 + 1,
+		Lat: decide.LatencyMemory{Mean: 1500, Dev: 20, N: 7},
+		Endpoints: []decide.EndpointMemory{{ID: 11, Sick: true, Mute: true, FirstBad: 4e9, BadAt: 5e9, GoodAt: 4e9 + 5, GoodSent: 4e9 + 3, OkAt: 1, RestUntil: 5e9 + 7,
+			Score: 0.5, Budget: decide.BucketMemory{At: 4e9, Tokens: 1.5, Used: true}, Need: 0.75, Lat: decide.LatencyMemory{Mean: 9, Dev: 1, N: 1}}, {ID: 12}}}}}
+	b, err := pack(m, func(n decide.Endpoint) (uint32, bool) { return uint32(n) * 1e8, true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := unpack(b, 3, func(x uint32) decide.Endpoint { return decide.Endpoint(x / 1e8) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := *m
+	want.Lanes[0].Endpoints[0].BadAt++ // this very moment is told as a µs later
+	if a, b := fmt.Sprintf("%+v", got.Lanes), fmt.Sprintf("%+v", want.Lanes); a != b {
+		t.Errorf("%s\nwant %s", a, b)
+	}
+	if len(b) > 160 {
+		t.Errorf("%d bytes", len(b))
+	}
+}
--- a/internal/core/waits_test.go
+++ b/internal/core/waits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"troutusher/decide"
@@ -19,6 +20,7 @@
 	homes  map[decide.Endpoint]*place1
 	calls  []*wayOut
 	told   map[string]decide.Time // the end of the longest wait, by scope
+	longer decide.Time            // waits are so much longer now and then
 	asked  map[string]bool        // scopes that told one
 	sent   int
 	kept   int // calls that the gate kept back
@@ -53,7 +55,12 @@
 	d.homes[e.Endpoint] = &place1{scope: name, gate: d.scopes[name].Gate(), dest: e.Dest}
 }
 
-func (w *world) idOf(n decide.Endpoint) string { return w.core.byNum[n].id }
+func (w *world) idOf(n decide.Endpoint) string {
+	if ep := w.core.byNum[n]; ep != nil {
+		return ep.id
+	}
+	return fmt.Sprint("forgotten ", n) // in the same step: its destination rests
+}
 
 func (d *driver) shut(n decide.Endpoint) {
 	if h := d.homes[n]; h != nil {
@@ -62,6 +69,14 @@
 	}
 }
 
+// forget lets go of all that is kept for an endpoint.
+func (d *driver) forget(n decide.Endpoint) {
+	if h := d.homes[n]; h != nil && strings.HasPrefix(h.scope, "route ") {
+		delete(d.scopes, h.scope)
+	}
+	delete(d.homes, n)
+}
+
 // tell is what reads an answer: the word of a wait is told to the gate at once.
 func (d *driver) tell(h *place1, wait decide.Time) {
 	until := d.w.now + wait
@@ -146,6 +161,9 @@
 				o = &Result{What: decide.Reset}
 			}
 			if o.Wait > 0 {
+				if d.longer > 0 && w.rng.IntN(3) == 0 {
+					o.Wait += d.longer
+				}
 				d.tell(c.home, o.Wait)
 			}
 			d.end(c, o)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"troutusher/internal/dormant"
 	"troutusher/internal/keys"
 	"troutusher/internal/story"
 	"troutusher/internal/tlspolicy"
@@ -31,8 +32,34 @@
 	Handshakes Handshakes `toml:"handshakes"`
 	Stories    Stories    `toml:"stories"`
 	Learned    Learned    `toml:"learned"`
+	Rest       Rest       `toml:"rest"`
+	Discovery  Discovery  `toml:"discovery"`
 }
 
+// Rest says which destinations are put away.
+type Rest struct {
+	// Awake is how many destinations may be awake for any time; -1 for all.
+	Awake int `toml:"awake"`
+	// QuietS is after how long without a message one beyond them is put away,
+	// in seconds.
+	QuietS float64 `toml:"quiet_s"`
+}
+
+// Limits are the core's.
+func (r *Rest) Limits() dormant.Limits {
+	return dormant.Limits{Awake: max(cmp.Or(r.Awake, awakeDefault), 0),
+		After: time.Duration(cmp.Or(r.QuietS, quietDefault) * float64(time.Second)).Microseconds()}
+}
+
+// Discovery is what concerns the list.
+type Discovery struct {
+	// ListMB is how long a list may be, in units of 2^20 bytes.
+	ListMB int `toml:"list_mb"`
+}
+
+// Bytes is ListMB in bytes.
+func (d *Discovery) Bytes() int { return cmp.Or(d.ListMB, listDefault) << 20 }
+
 // Learned is the file of what was learned.
 type Learned struct {
 	// PeriodS is how often it is written while anything is learned, in seconds;
@@ -130,6 +157,13 @@
 	DescriptorsLeast = 64
 	DescriptorsMost  = 1 << 20
 	storiesMost      = 1 << 20
+	awakeDefault     = 1024
+	awakeMost        = 1 << 20
+	quietDefault     = 60.0 // s
+	quietLeast       = 10   // s: what is counted of a destination has aged out by then
+	quietMost        = 86400
+	listDefault      = 4 // MB
+	listMost         = 1024
 	learnedPeriod    = 2.0 // s
 	learnedLeast     = 0.25
 	learnedMost      = 60
@@ -204,6 +238,15 @@
 	if x := f.Learned.PeriodS; x != 0 && x != -1 && !(x >= learnedLeast && x <= learnedMost) {
 		check.Wrong("learned.period_s", "%v, want %v to %d, or -1", x, learnedLeast, learnedMost)
 	}
+	if n := f.Rest.Awake; n < -1 || n > awakeMost {
+		check.Wrong("rest.awake", "%d, want -1 to %d", n, awakeMost)
+	}
+	if x := f.Rest.QuietS; x != 0 && !(x >= quietLeast && x <= quietMost) {
+		check.Wrong("rest.quiet_s", "%v, want %d to %d", x, quietLeast, quietMost)
+	}
+	if n := f.Discovery.ListMB; n < 0 || n > listMost {
+		check.Wrong("discovery.list_mb", "%d, want 1 to %d", n, listMost)
+	}
 	f.checkTLS(check)
 	return f, check.Err()
 }
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"troutusher/decide"
+	"troutusher/internal/dormant"
 	"troutusher/internal/front"
 	"troutusher/internal/operator"
 	"troutusher/internal/places"
@@ -40,6 +41,8 @@
 	Policy       decide.Settings
 	Operator     operator.Clients // what the operator's file says; zero where there is none
 	LearnedEvery time.Duration    // between two writes of what was learned; 0 for none
+	Rest         dormant.Limits   // which destinations are put away
+	ListMost     int              // bytes of discovery's list
 	Stories      int              // messages a second that the log tells of from their hand-in on
 	TLS          []operator.TLS   // likewise
 	Handshakes   operator.Handshakes
@@ -79,9 +82,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", operator.Env, err)
 	}
-	stories, learned := operator.Stories{}, operator.Learned{}
+	stories, learned, rest, disc := operator.Stories{}, operator.Learned{}, operator.Rest{}, operator.Discovery{}
 	if own != nil {
-		stories, learned = own.Stories, own.Learned
+		stories, learned, rest, disc = own.Stories, own.Learned, own.Rest, own.Discovery
 		c.TLS, c.Handshakes = own.TLS, own.Handshakes
 		if err := c.apply(&own.Clients); err != nil {
 			return nil, fmt.Errorf("%s: %w", operator.Env, err)
@@ -89,6 +92,7 @@
 	}
 	c.Stories = stories.Most()
 	c.LearnedEvery = learned.Every()
+	c.Rest, c.ListMost = rest.Limits(), disc.Bytes()
 	return c, nil
 }
 
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -42,7 +42,7 @@
 	listPath   = "/registry/instances"
 	noticePath = "/reports"
 	discAnswer = time.Second // notices are answered at once, or the agent is down
-	listMost   = 4 << 20     // bytes of a list or a line
+	listMost   = 4 << 20     // bytes of a list or a line, where the operator says nothing
 )
 
 // discSilence is after how long a watch is dead: it says something every 2 s.
@@ -80,6 +80,7 @@
 	log     *slog.Logger
 	client  *http.Client
 	silence time.Duration
+	most    int         // bytes of a list or a line
 	news    func(*List) // called in order
 	end     func()      // set where it may be ended before its context
 	follow  *registry.Follower
@@ -89,7 +90,7 @@
 
 func newDiscovery(addr string, log *slog.Logger, follow *registry.Follower, news func(*List)) *discovery {
 	d := &discovery{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(4),
-		silence: discSilence, news: news, follow: follow, first: make(chan struct{})}
+		silence: discSilence, most: listMost, news: news, follow: follow, first: make(chan struct{})}
 	d.client.Transport.(*http.Transport).ResponseHeaderTimeout = 0 // each call has its own
 	return d
 }
@@ -190,7 +191,7 @@
 	defer resp.Body.Close()
 	quiet := time.AfterFunc(d.silence, func() { cancel(errUnheard) })
 	defer quiet.Stop()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, listMost))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, int64(d.most)))
 	if err != nil {
 		return registry.Unheard, fmt.Errorf("discovery: %w", err)
 	}
@@ -221,7 +222,7 @@
 	quiet := time.AfterFunc(d.silence, func() { cancel(errors.New("silent")) })
 	defer quiet.Stop()
 	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 4096), listMost)
+	lines.Buffer(make([]byte, 0, 4096), d.most)
 	for lines.Scan() {
 		quiet.Reset(d.silence)
 		if text := bytes.TrimSpace(lines.Bytes()); len(text) > 0 {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -89,7 +90,7 @@
 	}
 	var err error
 	set := core.Settings{Policy: cfg.Policy, Seed: cfg.Seed, Epoch: r.began.UnixMicro() - clockStart,
-		Stories: cfg.Stories, Zones: cfg.zones, Kinds: cfg.kinds, Classes: cfg.classes, Tenants: cfg.tenants}
+		Stories: cfg.Stories, Rest: cfg.Rest, Zones: cfg.zones, Kinds: cfg.kinds, Classes: cfg.classes, Tenants: cfg.tenants}
 	if len(cfg.TLS) > 0 {
 		r.partners, err = secure.New(secure.Options{Rules: cfg.TLS, Handshakes: cfg.Handshakes, Log: log, Seed: cfg.Seed, State: cfg.State, Barred: r.barred})
 		if err != nil {
@@ -123,6 +124,7 @@
 	}
 	r.discovery = newDiscovery(cfg.Discovery, log, follow, func(l *List) { r.in.put(happening{Event: news(l)}) })
 	r.discovery.end = unwatch
+	r.discovery.most = cmp.Or(cfg.ListMost, listMost)
 	go r.discovery.run(watch)
 	r.agent = cfg.Discovery
 	go r.follow(ctx, re)
@@ -182,11 +184,17 @@
 
 	if inherited.Core == nil {
 		known, shift := r.keeper.read()
-		if known != nil && (cfg.Known == nil || known.Revision > cfg.Known.Revision) { // it has heard more
-			r.book([]core.Event{{Kind: core.News, List: known.List(), News: decide.ListCached}})
-		} else {
+		newer := known != nil && (cfg.Known == nil || known.Revision > cfg.Known.Revision) // it has heard more
+		if !newer || known.Partial {
 			r.book(r.knownList())
 		}
+		if newer {
+			kind := decide.ListCached
+			if known.Partial {
+				kind = decide.ListChange
+			}
+			r.book([]core.Event{{Kind: core.News, List: known.List(), News: kind}})
+		}
 		if heard || cfg.Known == nil && known == nil { // without any list there is nothing to serve on, and nobody is let in
 			r.book(list())
 		} else {
@@ -462,6 +470,8 @@
 	case core.Forget:
 		delete(r.homes, e.Endpoint)
 		r.pool.forget(e.Endpoint)
+	case core.Rest:
+		r.pool.rest(e.Dest)
 	case core.Tell:
 		if e.Text == tally.Line {
 			e.Args = append(e.Args, tally.Longest, r.longest.Microseconds())
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -72,6 +72,10 @@
 // that is known of one.
 func (p *pool) forget(route decide.Endpoint) { delete(p.scopes, scope{route: route}) }
 
+// rest lets go of a destination's scope: nothing is at its endpoints, and what
+// binds them is told anew as it wakes.
+func (p *pool) rest(dest int) { delete(p.scopes, scope{dest: dest}) }
+
 // home is one endpoint's part of the pool.
 type home struct {
 	pool   *pool
