Long lists are booked in pieces, and who wakes among many waits for budget

Need: a whole list of a million members kept the loop, and with it every client, for 1.6 s; and three hundred relays at which a quiet partner's first message comes in the same second sent it one call each, three times what it bears cold.

Change: what a list says of who is awake is booked at once, the rest 4,096 members a step; an endpoint that wakes between two pieces and is not named has left. A woken destination that nobody has heard of for long sends its first call at once, but where more than ten wake in a second: then each waits for a random amount of the cold-start budget, over all its routes.

--- a/decide/age.go
+++ b/decide/age.go
@@ -2,7 +2,10 @@
 
 import "slices"
 
-const quietRamps = 4 // unheard for so many ramps: an outage may have come and gone, and its end be on its ramp
+const (
+	quietRamps = 4  // unheard for so many ramps: an outage may have come and gone, and its end be on its ramp
+	wakesAlone = 10 // destinations a second that may wake by chance; where more do, they do at other relays too
+)
 
 // What a restart, or a long rest, makes of what was learned. Every rule errs towards caution where an outage may have ended, and
 // towards the default where a figure is merely old; a wait never shortens.
@@ -105,8 +108,11 @@
 // wake takes back what PutAway gave of destinations whose endpoints have just joined. Nothing is saved up for
 // them: what they get in their first moment goes one by one. One of which nobody has heard for long, or ever,
 // may have been out and come back: it is on a ramp from now, and gets what it bears cold, over all its routes.
+// The first call there goes at once, unless many wake together: then as many relays may have one as messages
+// come, and each waits for a random amount of budget.
 func (p *Policy) wake(e *Event) {
 	p.importLanes(e.Memory, 0)
+	alone := p.woken.take(p.now, 1, wakesAlone, wakesAlone)
 	for i := range e.Entries {
 		ep := p.eps[e.Entries[i].Endpoint]
 		if ep == nil || ep.state == Gone {
@@ -118,6 +124,9 @@
 		if !ep.sick && p.set.RampTime > 0 && (ep.okAt == 0 || p.now-ep.okAt > quietRamps*p.set.RampTime) {
 			ep.sick, ep.mute, ep.goodAt, ep.goodSent = true, false, p.now, p.now
 			ep.firstBad, ep.badAt, ep.budget, ep.need = p.now, p.now, bucket{}, 1
+			if _, _, rare := p.budgetRate(ep); rare && !alone {
+				ep.budget, ep.need = bucket{p.now, 0, true}, p.rng.ExpFloat64()
+			}
 		}
 	}
 }
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -22,7 +22,8 @@
 	next    uint32
 	tries   map[uint32]int
 	asked   []int
-	gen     []int // of relays that were started again: answers to the one before are lost; may be nil
+	gen     []int     // of relays that were started again: answers to the one before are lost; may be nil
+	asleep  []*Memory // of the destination, at relays that have put it away; may be nil
 
 	downAt, upAt Time   // in between it takes no connection, and then it returns cold; 0 for never
 	came         []Time // what was sent to it since then
@@ -65,6 +66,10 @@
 }
 
 func (c *crowd) step(now Time, i int, e ...Event) {
+	if c.asleep != nil && c.asleep[i] != nil && len(e) > 0 && e[0].Kind == EvMessage {
+		e = append([]Event{{Kind: EvList, List: ListChange, Entries: []Entry{ready(1, c.rate), ready(2, c.rate)}, Memory: c.asleep[i]}}, e...)
+		c.asleep[i] = nil
+	}
 	for _, a := range c.relays[i].Step(now, e, nil) {
 		switch a.Kind {
 		case ActTimer:
--- a/decide/state.go
+++ b/decide/state.go
@@ -23,6 +23,7 @@
 	touched []*dest        // to be looked at in this turn
 	ready   []*dest        // wait for nothing but a slot
 	tenants []bucket
+	woken   bucket // destinations that may still wake before many do together
 	calls   int
 	aloft   int // messages not ended with an attempt out
 	armed   Time
--- a/internal/core/carry.go
+++ b/internal/core/carry.go
@@ -105,6 +105,7 @@
 // may wait for its answer, and no call be on its way to its endpoint.
 func (r *Core) Carry(now decide.Time) *Carried {
 	r.now = max(now, r.now)
+	r.bookAll()
 	c := &Carried{Policy: r.policy.Export(r.now), Members: r.carriedMembers(), Waits: r.carriedWaits()}
 	members, lanes := r.resting(true)
 	c.Members, c.Policy.Lanes = append(c.Members, members...), append(c.Policy.Lanes, lanes...)
@@ -167,6 +168,7 @@
 		l.Members = append(l.Members, c.Members[i].Member)
 	}
 	r.list(l, decide.ListCached)
+	r.bookAll()
 	for _, dest := range c.Named {
 		if !r.asleep(dest) {
 			r.named[dest] = true
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -243,7 +243,8 @@
 	named     map[int]bool        // destinations that a list has named
 	waits     map[int]decide.Time // ends of the waits that destinations have told
 	rest      rests
-	listing   bool // a whole list is being booked
+	booking   *booking // a list of which a part is not booked yet
+	pieces    int      // members of it that are booked in one step
 	events    []decide.Event
 	actions   []decide.Action
 	later     []Event // for the next step
@@ -273,7 +274,7 @@
 	return &Core{set: s, policy: policy, msgs: map[uint32]*message{}, ids: map[string]*message{}, waiting: map[*Request]*message{},
 		byID: map[string]*endpoint{}, byNum: map[decide.Endpoint]*endpoint{}, named: map[int]bool{}, waits: map[int]decide.Time{},
 		ends: make([]Ends, len(s.Policy.Classes)), tally: tally.New(), stories: story.NewBudget(s.Stories),
-		rest: rests{roster: dormant.NewRoster(s.Rest), wary: map[int]bool{}}}, nil
+		pieces: listAtOnce, rest: rests{roster: dormant.NewRoster(s.Rest), wary: map[int]bool{}}}, nil
 }
 
 // Ends are how many messages of a class ended in each way: delivered; refused
@@ -377,6 +378,9 @@
 // to be done to fx, in order.
 func (r *Core) Step(now decide.Time, events []Event, fx []Effect) []Effect {
 	r.fx = r.Book(now, events, fx)
+	if r.booking != nil && r.bookOn(r.pieces) {
+		r.do(Effect{Kind: Again})
+	}
 	if r.timers.due(r.now) {
 		r.events = append(r.events, decide.Event{Kind: decide.EvTimer})
 	}
@@ -395,6 +399,7 @@
 // core's clock.
 func (r *Core) Restore(now decide.Time, owed []*Record, carried *Carried, shift decide.Time, fx []Effect) []Effect {
 	r.now, r.fx = max(now, r.now), fx
+	r.bookAll()
 	var calls map[string]*CarriedCall
 	var worth map[string]float64
 	if carried != nil {
@@ -624,58 +629,6 @@
 	}
 }
 
-// list books news of the list.
-func (r *Core) list(l *List, kind decide.ListNews) {
-	e := decide.Event{Kind: decide.EvList, List: kind}
-	r.rev = l.Revision
-	r.stirred++
-	seen := map[string]bool{} // of those that are awake
-	r.listing = kind != decide.ListChange
-	for i := range l.Members {
-		if x := &l.Members[i]; x.Phase != Removed && r.byID[x.ID] != nil {
-			r.attend(x.Cell) // an endpoint that is known moves among those that are awake
-		}
-	}
-	if s := r.rest.store; s != nil && r.listing {
-		s.Begin()
-	}
-	for i := range l.Members {
-		x := &l.Members[i]
-		if x.Check() != nil {
-			continue // in the configuration's list; discovery's is checked already
-		}
-		if entry, awake := r.news(x); awake {
-			seen[x.ID] = true
-			e.Entries = append(e.Entries, entry)
-		}
-	}
-	if s := r.rest.store; s != nil && r.listing {
-		for _, dest := range s.End() {
-			r.departs(dest)
-		}
-	}
-	r.forgetDeparted()
-	r.listing = false
-	if kind != decide.ListChange {
-		for _, ep := range r.endpoints {
-			if !seen[ep.id] {
-				ep.listed = false
-				r.leave(ep)
-			}
-		}
-	}
-	r.events = append(r.events, e)
-	r.endpoints = slices.DeleteFunc(r.endpoints, func(ep *endpoint) bool { // the list's comings and goings must not fill the memory
-		if !ep.gone || len(ep.calls) > 0 || r.now <= max(ep.goneAt+forgetGone, ep.waitUntil) || seen[ep.id] {
-			return false
-		}
-		delete(r.byID, ep.id)
-		delete(r.byNum, ep.num)
-		r.do(Effect{Kind: Forget, Endpoint: ep.num})
-		return true
-	})
-}
-
 func (r *Core) member(x *Member) decide.Entry {
 	ep := r.byID[x.ID]
 	if ep == nil {
--- /dev/null
+++ b/internal/core/idle_bench_test.go
@@ -0,0 +1,207 @@
+package core
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"troutusher/decide"
+	"troutusher/internal/dormant"
+)
+
+// Figures of docs/measurements/idle.md:
+//
+//	go test -run '^$' -bench Idle -benchtime 1x ./internal/core
+//
+// BenchmarkIdleMemory's resident figure is true for one case a process alone.
+
+// resident is what the process holds in memory, in bytes.
+func resident(b *testing.B) float64 {
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		b.Skip(err)
+	}
+	pages, err := strconv.ParseFloat(strings.Fields(string(text))[1], 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return pages * float64(os.Getpagesize())
+}
+
+// idle is a core that a list has told of so many destinations, of which at most
+// 1,024 are awake, or all.
+func idle(b *testing.B, dests, endpoints int, rest bool) *Core {
+	set := settings()
+	if rest {
+		set.Rest = dormant.Limits{Awake: 1024, After: 60e6}
+	}
+	r, err := New(set)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for d := 0; d < dests; d += 1000 {
+		r.Step(3600e6, []Event{{Kind: News, News: decide.ListChange, List: &List{Members: quiet(d, min(d+1000, dests), endpoints)}}}, nil)
+	}
+	return r
+}
+
+// quiet are the members of destinations, as a list of 13-byte ids and addresses
+// has them.
+func quiet(from, to, endpoints int) []Member {
+	l := make([]Member, 0, (to-from)*endpoints)
+	for d := from; d < to; d++ {
+		for e := range endpoints {
+			l = append(l, Member{ID: fmt.Sprintf("shop-%07d-%d", d, e), HostPort: fmt.Sprintf("10.%d.%d.%d:8080", d>>16&255, d>>8&255, d&255),
+				Locality: "a", Flavor: "k", Cell: d, Phase: Up, Size: 40})
+		}
+	}
+	return l
+}
+
+func BenchmarkIdleMemory(b *testing.B) {
+	for _, endpoints := range []int{1, 3} {
+		for _, n := range []int{1000, 100_000, 1_000_000} {
+			for what, rest := range map[string]bool{"awake": false, "resting": true} {
+				b.Run(fmt.Sprintf("%d/%d/%s", endpoints, n, what), func(b *testing.B) {
+					var before, after runtime.MemStats
+					debug.FreeOSMemory()
+					held := resident(b)
+					runtime.ReadMemStats(&before)
+					r := idle(b, n, endpoints, rest)
+					debug.FreeOSMemory()
+					runtime.ReadMemStats(&after)
+					b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "heap-B/dest")
+					b.ReportMetric((resident(b)-held)/float64(n), "resident-B/dest")
+					if _, bytes := r.Resting(); bytes > 0 {
+						b.ReportMetric(float64(bytes)/float64(n-1024), "store-B/dest")
+					}
+					runtime.KeepAlive(r)
+				})
+			}
+		}
+	}
+}
+
+// delivers has messages go to destinations and be delivered, one after another,
+// and returns how long each took from hand-in to end, all steps together.
+func delivers(b *testing.B, r *Core, now decide.Time, n int, dest func(i int) int) (took []time.Duration) {
+	var fx []Effect
+	for i := range n {
+		began := time.Now()
+		q := &Request{Tenant: -1, Rec: &Record{Kind: Taken, ID: strconv.Itoa(int(now)) + "-" + strconv.Itoa(i), Class: "plain", Dest: dest(i), Deadline: r.wall(now + 20e6)}}
+		events, done := []Event{{Kind: Put, Request: q}}, false
+		for turn := 0; !done; turn++ {
+			if turn > 100 {
+				b.Fatalf("message %d is not sent", i)
+			}
+			fx = r.Step(now, events, fx[:0])
+			events = events[:0]
+			for k := range fx {
+				switch e := &fx[k]; e.Kind {
+				case LogThenAnswer:
+					events = append(events, Event{Kind: Said, Request: e.Request, OK: true})
+				case LogThenSend:
+					events = append(events, Event{Kind: Finished, Call: e.Call, Result: delivered})
+				case LogOnly:
+					done = done || e.Record.Kind == End
+				case Answer:
+					b.Fatalf("%+v", e.Reply)
+				}
+			}
+			now += 50e3
+		}
+		took = append(took, time.Since(began))
+	}
+	return took
+}
+
+// A message to one that is awake, and an empty step, against the number of those
+// that rest.
+func BenchmarkIdleMessage(b *testing.B) {
+	for _, n := range []int{1000, 100_000, 1_000_000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			r := idle(b, n, 1, true)
+			delivers(b, r, 3700e6, 2000, func(i int) int { return i % 500 })
+			runtime.GC()
+			b.ResetTimer()
+			for range b.N {
+				delivers(b, r, r.now+1e6, 20_000, func(i int) int { return i % 500 })
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/20_000/float64(b.N), "ns/message")
+		})
+	}
+}
+
+// A whole list of so many, of which nothing but a hundredth has changed: the time
+// that nothing else has its turn, and what it leaves to be collected.
+func BenchmarkIdleList(b *testing.B) {
+	for _, n := range []int{1000, 100_000, 1_000_000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			r := idle(b, n, 1, true)
+			l := &List{Complete: true, Members: quiet(0, n, 1)}
+			var longest time.Duration
+			var before, after runtime.MemStats
+			for i := range b.N {
+				for k := i % 100; k < n; k += 100 {
+					l.Members[k].Size++
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				now := decide.Time(4000e6 + i*1e6)
+				events := []Event{{Kind: News, News: decide.ListFull, List: l}}
+				for more := true; more; {
+					began := time.Now()
+					fx := r.Step(now, events, nil)
+					longest = max(longest, time.Since(began))
+					more, events = false, nil
+					for k := range fx {
+						more = more || fx[k].Kind == Again
+					}
+				}
+				runtime.ReadMemStats(&after)
+			}
+			b.ReportMetric(float64(longest.Microseconds())/1000, "ms/longest-step")
+			b.ReportMetric(float64(b.Elapsed().Milliseconds())/float64(b.N), "ms/list")
+			b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/(1<<20), "MB-garbage")
+		})
+	}
+}
+
+// One that wakes, and ten thousand that wake together, beside a thousand others.
+func BenchmarkIdleWake(b *testing.B) {
+	for _, n := range []int{100_000, 1_000_000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			r := idle(b, n, 1, true)
+			var one, longest time.Duration
+			woken := 2000
+			for range b.N {
+				began := time.Now()
+				for range 100 {
+					r.rouse(woken)
+					r.step()
+					woken++
+				}
+				one += time.Since(began) / 100
+				var events []Event
+				for i := range 10_000 {
+					events = append(events, Event{Kind: Put, Request: &Request{Tenant: -1, Rec: &Record{Kind: Taken, ID: fmt.Sprint(woken, i), Class: "plain",
+						Dest: woken, Deadline: r.wall(r.now + 20e6)}}})
+					woken++
+					if len(events) == 10 { // as many come in a step, of ten thousand in a second
+						began := time.Now()
+						r.Step(r.now+1000, events, nil)
+						longest = max(longest, time.Since(began))
+						events = events[:0]
+					}
+				}
+			}
+			b.ReportMetric(float64(one.Nanoseconds())/float64(b.N), "ns/one")
+			b.ReportMetric(float64(longest.Microseconds()), "us/longest-step")
+		})
+	}
+}
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -51,6 +51,7 @@
 // name, inherits nothing.
 func (r *Core) Recall(now decide.Time, l *Learned, shift decide.Time, fx []Effect) []Effect {
 	r.now, r.fx = max(now, r.now), fx
+	r.bookAll()
 	if l.Policy != nil {
 		r.wakeAll(l.Policy)
 	}
--- a/internal/core/rest.go
+++ b/internal/core/rest.go
@@ -49,11 +49,16 @@
 	return r.rest.store.Len(), r.rest.store.Bytes()
 }
 
-// news books a member of a list where it belongs: in the store, or among what is
+// news books a member of the list under way where it belongs: in the store, or among what is
 // awake, and then its entry is for the policy.
 func (r *Core) news(x *Member) (entry decide.Entry, awake bool) {
 	s := r.rest.store
+	delete(r.booking.unnamed, x.ID)
 	if s != nil {
+		e := dormant.Endpoint{ID: x.ID, HostPort: x.HostPort, Locality: x.Locality, Flavor: x.Flavor, Draining: x.Phase == Draining, Size: x.Size}
+		if x.Phase != Removed && s.Same(x.Cell, &e) {
+			return entry, false
+		}
 		if at, ok := s.Find(x.ID); ok && (x.Phase == Removed || x.Cell != at) {
 			s.Remove(x.ID)
 			r.departs(at)
@@ -72,7 +77,7 @@
 		if s == nil {
 			s = dormant.New()
 			r.rest.store = s
-			if r.listing {
+			if r.booking.whole {
 				s.Begin()
 			}
 		}
@@ -123,6 +128,9 @@
 		x := &endpoints[i]
 		m := listed(dest, x)
 		entry := r.member(&m)
+		if r.booking != nil && r.booking.whole && x.Unnamed {
+			r.booking.unnamed[x.ID] = true
+		}
 		number[endpointMark(x.ID, x.HostPort)] = entry.Endpoint
 		e.Entries = append(e.Entries, entry)
 	}
@@ -136,7 +144,7 @@
 // putAway has destinations rest that the roster names and the policy lets go.
 func (r *Core) putAway() {
 	s := &r.rest
-	if !s.roster.Over() || s.again > r.now || r.ceding || r.awaiting || r.stopping {
+	if !s.roster.Over() || s.again > r.now || r.ceding || r.awaiting || r.stopping || r.booking != nil {
 		return
 	}
 	s.due, s.again = s.roster.Due(r.now, restAtOnce, s.due[:0])
@@ -149,7 +157,7 @@
 		}
 	}
 	for _, ep := range r.endpoints {
-		if _, ok := going[ep.cell]; ok && (len(ep.calls) > 0 || r.heldUntil(ep) > r.now) { // an outcome is on its way, or it was told to wait
+		if _, ok := going[ep.cell]; ok && r.heldUntil(ep) > r.now {
 			delete(going, ep.cell)
 			s.roster.Stir(ep.cell, r.now)
 		}
--- a/internal/core/waits_test.go
+++ b/internal/core/waits_test.go
@@ -71,6 +71,9 @@
 
 // forget lets go of all that is kept for an endpoint.
 func (d *driver) forget(n decide.Endpoint) {
+	if h := d.homes[n]; h != nil && !h.gone {
+		d.w.failf("endpoint %d is forgotten and not shut", n)
+	}
 	if h := d.homes[n]; h != nil && strings.HasPrefix(h.scope, "route ") {
 		delete(d.scopes, h.scope)
 	}
--- a/internal/dormant/store.go
+++ b/internal/dormant/store.go
@@ -28,6 +28,7 @@
 	Flavor   string
 	Draining bool
 	Size     float64
+	Unnamed  bool // told by the store: the whole list under way has not named it yet
 }
 
 const (
@@ -60,6 +61,7 @@
 	tagged    map[tag]int
 	endpoints int
 	draining  int  // of them
+	marked    int  // of them, named by the newest whole list
 	mark      byte // isMarked or 0: what an endpoint has that the newest whole list names
 	scratch   []byte
 }
@@ -90,6 +92,7 @@
 // record is one that was read.
 type record struct {
 	place   uint32
+	dead    bool
 	dest    int
 	learned []byte // in the chunk
 	rest    []byte // the endpoints, in the chunk
@@ -105,7 +108,8 @@
 	b := s.bytes(place)
 	n, head := binary.Uvarint(b)
 	r := record{place: place, size: head + int(n)}
-	b = b[head:r.size]
+	r.dead = b[head] != 0
+	b = b[head+1 : r.size]
 	dest, k := binary.Varint(b)
 	r.dest = int(dest)
 	b = b[k:]
@@ -137,7 +141,7 @@
 }
 
 func (s *Store) decode(one, id []byte) Endpoint {
-	e := Endpoint{ID: string(id), Draining: one[0]&isDraining != 0}
+	e := Endpoint{ID: string(id), Draining: one[0]&isDraining != 0, Unnamed: one[0]&isMarked != s.mark}
 	_, k := binary.Uvarint(one[1:])
 	b := one[1+k+len(id):]
 	if one[0]&isAddr != 0 {
@@ -166,7 +170,8 @@
 	}
 	// Only an address that is read back as it was written is packed.
 	at, err := netip.ParseAddrPort(e.HostPort)
-	if err == nil && at.Addr().Is4() && at.String() == e.HostPort {
+	var text [len("255.255.255.255:65535")]byte
+	if err == nil && at.Addr().Is4() && string(at.AppendTo(text[:0])) == e.HostPort {
 		flags |= isAddr
 	}
 	whole := e.Size >= 0 && e.Size < 1<<32 && e.Size == math.Trunc(e.Size) && !math.Signbit(e.Size)
@@ -223,7 +228,7 @@
 
 // put writes a record and returns its place. Its bytes may come from the store.
 func (s *Store) put(dest int, learned, endpoints []byte) uint32 {
-	b := s.scratch[:0]
+	b := append(s.scratch[:0], 0) // it lives
 	b = binary.AppendVarint(b, int64(dest))
 	b = binary.AppendUvarint(b, uint64(len(learned)))
 	b = append(b, learned...)
@@ -255,6 +260,9 @@
 	at := int(r.place >> chunkBits)
 	c := &s.chunks[at]
 	c.dead += r.size
+	b := s.bytes(r.place)
+	_, head := binary.Uvarint(b)
+	b[head] = 1
 	switch {
 	case c.dead == len(c.b):
 		s.clear(at)
@@ -275,7 +283,7 @@
 	for off := 0; off < len(s.chunks[at].b); {
 		r := s.read(uint32(at)<<chunkBits | uint32(off))
 		off += r.size
-		if _, ok := s.dests.find(s.destHash(r.dest), r.place); ok {
+		if !r.dead {
 			s.move(r, r.learned, r.rest)
 		}
 	}
@@ -344,13 +352,14 @@
 	}
 	var b []byte
 	for i := range endpoints {
+		at := len(b)
 		b = s.encode(b, &endpoints[i])
+		s.count(b[at], 1)
 	}
 	place := s.put(dest, learned, b)
 	s.dests.add(s.destHash(dest), place)
 	for i := range endpoints {
 		s.ids.add(s.nameHash(endpoints[i].ID), place)
-		s.count(endpoints[i].Draining, 1)
 	}
 }
 
@@ -361,7 +370,7 @@
 		var one, id []byte
 		one, id, b = next(b)
 		s.ids.remove(s.idHash(id), r.place)
-		s.count(one[0]&isDraining != 0, -1)
+		s.count(one[0], -1)
 	}
 	s.drop(r)
 }
@@ -402,14 +411,15 @@
 			s.Sleep(dest, nil, []Endpoint{*e})
 			return
 		}
-		r = s.rewrite(r, r.learned, s.encode(slices.Clone(r.rest), e))
+		fresh := s.encode(nil, e)
+		s.count(fresh[0], 1)
+		r = s.rewrite(r, r.learned, append(slices.Clone(r.rest), fresh...))
 		s.ids.add(s.nameHash(e.ID), r.place)
-		s.count(e.Draining, 1)
 		return
 	}
-	s.count(one[0]&isDraining != 0, -1)
-	s.count(e.Draining, 1)
 	fresh := s.encode(nil, e)
+	s.count(one[0], -1)
+	s.count(fresh[0], 1)
 	if len(fresh) == len(one) && string(fresh[1:]) == string(one[1:]) {
 		one[0] = fresh[0] // nothing but its flags: no new record
 		return
@@ -417,6 +427,23 @@
 	s.rewrite(r, r.learned, append(without(r.rest, e.ID), fresh...))
 }
 
+// Same reports whether an endpoint is here as it is told, draining or not, and if
+// so books that, and that the list names it: most of a whole list is so.
+func (s *Store) Same(dest int, e *Endpoint) bool {
+	r, one, ok := s.byID(e.ID)
+	if !ok || r.dest != dest {
+		return false
+	}
+	s.scratch = s.encode(s.scratch[:0], e)
+	if string(s.scratch[1:]) != string(one[1:]) || (s.scratch[0]^one[0])&^(isMarked|isDraining) != 0 {
+		return false
+	}
+	s.count(one[0], -1)
+	s.count(s.scratch[0], 1)
+	one[0] = s.scratch[0]
+	return true
+}
+
 // Learn has something else be what was learned of a destination that is here.
 func (s *Store) Learn(dest int, learned []byte) {
 	if r, ok := s.byDest(dest); ok {
@@ -433,16 +460,26 @@
 	return slices.Clone(r.learned), s.all(r), true
 }
 
-func (s *Store) count(draining bool, n int) {
+// count books that an endpoint with such flags is here, or no more.
+func (s *Store) count(flags byte, n int) {
 	s.endpoints += n
-	if draining {
+	if flags&isDraining != 0 {
 		s.draining += n
 	}
+	if flags&isMarked == s.mark {
+		s.marked += n
+	}
 }
 
 // rewrite puts other bytes into the place of a record's. Its old ids are found at
 // the new one.
 func (s *Store) rewrite(r record, learned, endpoints []byte) record {
+	if c, off := &s.chunks[s.at], int(r.place&(chunkSize-1)); int(r.place>>chunkBits) == s.at && off+r.size == len(c.b) {
+		// It is the last one: a list that names a destination's endpoints one behind the other leaves nothing dead.
+		r.rest = slices.Clone(r.rest)
+		c.b = c.b[:off]
+		return s.move(r, learned, endpoints)
+	}
 	x := s.move(r, learned, endpoints)
 	s.drop(r)
 	if now, ok := s.byDest(r.dest); ok {
@@ -470,7 +507,7 @@
 		return 0, false
 	}
 	s.ids.remove(s.nameHash(id), r.place)
-	s.count(one[0]&isDraining != 0, -1)
+	s.count(one[0], -1)
 	s.rewrite(r, r.learned, without(r.rest, id))
 	return r.dest, true
 }
@@ -487,11 +524,17 @@
 }
 
 // Begin begins a whole list: what is not put until End is not in it.
-func (s *Store) Begin() { s.mark ^= isMarked }
+func (s *Store) Begin() {
+	s.mark ^= isMarked
+	s.marked = s.endpoints - s.marked
+}
 
 // End takes out what the list did not name, and returns the destinations that
 // have lost an endpoint, in the order of their records.
 func (s *Store) End() (lost []int) {
+	if s.marked == s.endpoints {
+		return nil
+	}
 	type old struct {
 		dest int
 		id   string
@@ -521,7 +564,7 @@
 		for off := 0; off < len(s.chunks[at].b); {
 			r := s.read(uint32(at)<<chunkBits | uint32(off))
 			off += r.size
-			if _, ok := s.dests.find(s.destHash(r.dest), r.place); ok {
+			if !r.dead {
 				f(r.dest, r.learned, r.rest)
 			}
 		}
--- a/internal/dormant/store_test.go
+++ b/internal/dormant/store_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+
+	"troutusher/decide"
 )
 
 // model is the store as plain maps.
@@ -33,6 +35,9 @@
 
 func sorted(e []Endpoint) []Endpoint {
 	e = slices.Clone(e)
+	for i := range e {
+		e[i].Unnamed = false
+	}
 	slices.SortFunc(e, func(a, b Endpoint) int { return bytes.Compare([]byte(a.ID), []byte(b.ID)) })
 	return e
 }
@@ -212,3 +217,35 @@
 		t.Error("the other has gone")
 	}
 }
+
+// Who has been quiet for longest goes first, beyond the limit alone, and not
+// before its time.
+func TestRoster(t *testing.T) {
+	r := NewRoster(Limits{Awake: 2, After: 60})
+	for i := range 6 {
+		r.Stir(i, decide.Time(i))
+	}
+	r.Stir(0, 10)
+	r.Leave(4)
+	r.Leave(9)
+	if !r.Full() || !r.Over() || r.Len() != 5 || r.Awake(4) || !r.Awake(0) {
+		t.Errorf("%+v", r)
+	}
+	for _, x := range []struct {
+		now   decide.Time
+		most  int
+		due   []int
+		again decide.Time
+	}{{60, 9, nil, 61}, {61, 9, []int{1}, 62}, {62, 1, []int{1}, 62}, {70, 9, []int{1, 2, 3}, 0}, {1000, 9, []int{1, 2, 3}, 0}} {
+		if due, again := r.Due(x.now, x.most, nil); !slices.Equal(due, x.due) || again != x.again {
+			t.Errorf("at %d: %v, again at %d, want %v and %d", x.now, due, again, x.due, x.again)
+		}
+	}
+	all := NewRoster(Limits{})
+	for i := range 3000 {
+		all.Stir(i, 0)
+	}
+	if due, again := all.Due(1e12, 9, nil); all.Full() || all.Over() || due != nil || again != 0 {
+		t.Errorf("with no limit %v go", due)
+	}
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"time"
+	"troutusher/internal/dormant"
 	"troutusher/internal/story"
 )
 
@@ -63,6 +64,10 @@
 		"[stories]\nper_second = 1048577\n":                                  "o.toml:2: stories.per_second: 1048577",
 		"[learned]\nperiod_s = 0.1\n":                                        "o.toml:2: learned.period_s: 0.1, want 0.25 to 60, or -1",
 		"[learned]\nperiod_s = nan\n":                                        "o.toml:2: learned.period_s: NaN",
+		"[rest]\nawake = -2\n":                                               "o.toml:2: rest.awake: -2, want -1 to 1048576",
+		"[rest]\n\nquiet_s = 9.9\n":                                          "o.toml:3: rest.quiet_s: 9.9, want 10 to 86400",
+		"[rest]\nquiet_s = nan\n":                                            "o.toml:2: rest.quiet_s: NaN",
+		"[discovery]\nlist_mb = 1025\n":                                      "o.toml:2: discovery.list_mb: 1025, want 1 to 1024",
 		"[client]\n":                                                         "o.toml:1: client: unknown key",
 		"[clients\n":                                                         "o.toml:1: ",
 		"[[tls]]\ndestinations = [1]\nserver_name = \"x\"\nroots = \"r\"\n":  "o.toml:1: tls[0].name: missing",
@@ -135,6 +140,13 @@
 			t.Errorf("%q: %v, %v", text, f, err)
 		}
 	}
+	for text, want := range map[string]dormant.Limits{"": {Awake: 1024, After: 60e6}, "[rest]\nawake = 7\nquiet_s = 12.5\n": {Awake: 7, After: 12.5e6},
+		"[rest]\nawake = -1\n": {After: 60e6}} {
+		f, err := Parse("o.toml", []byte(text))
+		if err != nil || f.Rest.Limits() != want || f.Discovery.Bytes() != 4<<20 {
+			t.Errorf("%q: %v, %v", text, f, err)
+		}
+	}
 	for text, want := range map[string]time.Duration{"": 2 * time.Second, "[learned]\nperiod_s = 0.5\n": 500 * time.Millisecond, "[learned]\nperiod_s = -1\n": 0} {
 		f, err := Parse("o.toml", []byte(text))
 		if err != nil || f.Learned.Every() != want {
--- a/internal/relay/waits_test.go
+++ b/internal/relay/waits_test.go
@@ -200,4 +200,11 @@
 	if open(3, 2, true); held(r.homes[3]) > 0 {
 		t.Error("a route that was forgotten is held")
 	}
+	for _, n := range []decide.Endpoint{1, 2, 6} {
+		r.do(&core.Effect{Kind: core.Shut, Endpoint: n})
+		r.do(&core.Effect{Kind: core.Forget, Endpoint: n})
+	}
+	if r.do(&core.Effect{Kind: core.Rest, Dest: 1}); r.pool.scopes[scope{dest: 1}] != nil {
+		t.Error("a destination that rests keeps its scope")
+	}
 }
