A long list leaves no memory behind: lines are not kept, what was read is given back

Seen: a relay that a list of a million members (115 MB) had reached held 565 MB; 61 bytes a destination would be 61 MB. Checked by a bench that starts a relay whose discovery serves such lists: the watch's line buffer stays as long as its longest line (a scanner grows and never shrinks), and what was parsed is not collected for minutes, since a quiet relay allocates little.

Change: a line of a watch is read into memory that nobody keeps, with the same bound; after a list over 8 MB the memory is given back once it is booked.

--- /dev/null
+++ b/internal/dormant/bench_test.go
@@ -0,0 +1,157 @@
+package dormant
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+)
+
+// What an index of a million ids takes, and how long one look takes: figures of
+// docs/measurements/idle.md.
+//
+//	go test -run '^$' -bench Structures -benchtime 1000000x ./internal/dormant
+
+// index finds the place of a hash.
+type index interface {
+	add(hash uint64, place uint32)
+	has(hash uint64, place uint32) bool
+}
+
+type tableIndex struct{ table }
+
+func (t *tableIndex) has(hash uint64, place uint32) bool {
+	_, ok := t.find(hash, place)
+	return ok
+}
+
+type mapIndex map[uint64]uint32
+
+func (m mapIndex) add(hash uint64, place uint32)      { m[hash] = place }
+func (m mapIndex) has(hash uint64, place uint32) bool { return m[hash] == place }
+
+// blockIndex is sorted slots in blocks, each cut in two as it fills.
+type blockIndex struct{ blocks [][]uint64 }
+
+const blockMost = 512
+
+func key(hash uint64, place uint32) uint64 { return hash>>32<<32 | uint64(place) }
+
+func (b *blockIndex) block(k uint64) int {
+	at, ok := slices.BinarySearchFunc(b.blocks, k, func(s []uint64, k uint64) int {
+		switch {
+		case s[0] < k:
+			return -1
+		case s[0] > k:
+			return 1
+		}
+		return 0
+	})
+	if !ok {
+		at--
+	}
+	return max(at, 0)
+}
+
+func (b *blockIndex) add(hash uint64, place uint32) {
+	k := key(hash, place)
+	if len(b.blocks) == 0 {
+		b.blocks = [][]uint64{{k}}
+		return
+	}
+	at := b.block(k)
+	s := b.blocks[at]
+	i, _ := slices.BinarySearch(s, k)
+	s = slices.Insert(s, i, k)
+	if b.blocks[at] = s; len(s) == blockMost {
+		b.blocks[at] = slices.Clone(s[:blockMost/2])
+		b.blocks = slices.Insert(b.blocks, at+1, slices.Clone(s[blockMost/2:]))
+	}
+}
+
+func (b *blockIndex) has(hash uint64, place uint32) bool {
+	_, ok := slices.BinarySearch(b.blocks[b.block(key(hash, place))], key(hash, place))
+	return ok
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func BenchmarkStructures(b *testing.B) {
+	const n = 1_000_000
+	rng := rand.New(rand.NewPCG(1, 2))
+	hashes := make([]uint64, n)
+	for i := range hashes {
+		hashes[i] = rng.Uint64()
+	}
+	for name, make := range map[string]func() index{"table": func() index { return &tableIndex{} }, "map": func() index { return mapIndex{} },
+		"blocks": func() index { return &blockIndex{} }} {
+		b.Run(name, func(b *testing.B) {
+			before := heap()
+			x := make()
+			for i, h := range hashes {
+				x.add(h, uint32(i))
+			}
+			held := heap() - before
+			b.ResetTimer()
+			for i := range b.N {
+				k := i * 7919 % n
+				if !x.has(hashes[k], uint32(k)) {
+					b.Fatal("not found")
+				}
+			}
+			b.ReportMetric(float64(held)/n, "B/entry")
+		})
+	}
+}
+
+// The whole store beside what it would be with plain maps of what it holds.
+func BenchmarkStoreOrMaps(b *testing.B) {
+	const n = 1_000_000
+	one := func(i int) Endpoint {
+		return Endpoint{ID: fmt.Sprintf("shop-%07d-0", i), HostPort: fmt.Sprintf("10.%d.%d.%d:8080", i>>16&255, i>>8&255, i&255), Locality: "a", Flavor: "k", Size: 40}
+	}
+	b.Run("store", func(b *testing.B) {
+		before := heap()
+		s := New()
+		for i := range n {
+			e := one(i)
+			s.Put(i, &e)
+		}
+		held := heap() - before
+		b.ResetTimer()
+		for i := range b.N {
+			if !s.Has(i * 7919 % n) {
+				b.Fatal("not found")
+			}
+		}
+		b.ReportMetric(float64(held)/n, "B/dest")
+	})
+	b.Run("maps", func(b *testing.B) {
+		type dest struct {
+			learned   []byte
+			endpoints []Endpoint
+		}
+		before := heap()
+		dests, ids := map[int]*dest{}, map[string]int{}
+		for i := range n {
+			e := one(i)
+			dests[i] = &dest{endpoints: []Endpoint{e}}
+			ids[e.ID] = i
+		}
+		held := heap() - before
+		b.ResetTimer()
+		for i := range b.N {
+			if dests[i*7919%n] == nil {
+				b.Fatal("not found")
+			}
+		}
+		b.ReportMetric(float64(held)/n, "B/dest")
+		runtime.KeepAlive(ids)
+	})
+}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"time"
@@ -41,8 +42,10 @@
 const (
 	listPath   = "/registry/instances"
 	noticePath = "/reports"
-	discAnswer = time.Second // notices are answered at once, or the agent is down
-	listMost   = 4 << 20     // bytes of a list or a line, where the operator says nothing
+	discAnswer = time.Second     // notices are answered at once, or the agent is down
+	listLong   = 8 << 20         // bytes; longer ones leave much to be collected
+	listBooked = 5 * time.Second // by then a list of a million has been booked
+	listMost   = 4 << 20         // bytes of a list or a line, where the operator says nothing
 )
 
 // discSilence is after how long a watch is dead: it says something every 2 s.
@@ -137,6 +140,14 @@
 	d.news(l)
 }
 
+// giveBack returns to the system, once it has been booked, what a long list took
+// while it was read: nothing else here would have it collected for minutes.
+func giveBack(read int) {
+	if read >= listLong {
+		time.AfterFunc(listBooked, debug.FreeOSMemory)
+	}
+}
+
 // answered notes that the registry has said something.
 func (d *discovery) answered() { d.once.Do(func() { close(d.first) }) }
 
@@ -206,6 +217,7 @@
 		return registry.Garbled, fmt.Errorf("discovery: the whole list is of version %d, older than what is known", l.Revision)
 	}
 	d.heard(l)
+	giveBack(len(text))
 	return registry.Served, nil
 }
 
@@ -221,11 +233,14 @@
 	defer resp.Body.Close()
 	quiet := time.AfterFunc(d.silence, func() { cancel(errors.New("silent")) })
 	defer quiet.Stop()
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 4096), d.most)
-	for lines.Scan() {
+	in := bufio.NewReader(resp.Body)
+	for {
+		var line []byte
+		if line, err = readLine(in, d.most); err != nil && len(line) == 0 {
+			break
+		}
 		quiet.Reset(d.silence)
-		if text := bytes.TrimSpace(lines.Bytes()); len(text) > 0 {
+		if text := bytes.TrimSpace(line); len(text) > 0 {
 			l, err := parseList(text)
 			if err != nil {
 				return registry.Garbled, err
@@ -233,6 +248,7 @@
 			switch d.follow.Take(l.Revision, l.Complete) {
 			case registry.Believe:
 				d.heard(l)
+				giveBack(len(text))
 			case registry.Ignore:
 				d.log.Warn("discovery: older than what is known", "revision", l.Revision)
 			case registry.Ask:
@@ -241,18 +257,34 @@
 		}
 		d.answered() // an empty line as well: nothing has changed
 	}
-	if err = lines.Err(); errors.Is(err, bufio.ErrTooLong) {
+	if errors.Is(err, bufio.ErrTooLong) {
 		return registry.Garbled, fmt.Errorf("discovery: %w", err)
 	}
-	if err == nil {
-		err = io.EOF
-	}
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
 	return registry.Served, fmt.Errorf("discovery: %w", err)
 }
 
+// readLine reads a line of at most so many bytes, its end among them; what comes
+// with an error is what came of the last one. A long one is kept by nobody but the
+// caller: a watch lasts for days.
+func readLine(in *bufio.Reader, most int) ([]byte, error) {
+	line, err := in.ReadSlice('\n')
+	if err != bufio.ErrBufferFull {
+		return line, err
+	}
+	long := bytes.Clone(line)
+	for err == bufio.ErrBufferFull {
+		line, err = in.ReadSlice('\n')
+		if len(long)+len(line) > most {
+			return nil, bufio.ErrTooLong
+		}
+		long = append(long, line...)
+	}
+	return long, err
+}
+
 // notice tells the platform how a message ended.
 type notice = core.Notice
 
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -73,7 +73,7 @@
  "tick_us":5000,"value_by":"request","weights":"nominal","zone":0}`
 
 // waitFor waits for a condition, never for a time.
-func waitFor(t *testing.T, what string, cond func() bool) {
+func waitFor(t testing.TB, what string, cond func() bool) {
 	t.Helper()
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 		if cond() {
@@ -103,7 +103,7 @@
 	released chan struct{}
 }
 
-func newFakeDiscovery(t *testing.T, members ...core.Member) *fakeDiscovery {
+func newFakeDiscovery(t testing.TB, members ...core.Member) *fakeDiscovery {
 	d := &fakeDiscovery{list: List{Revision: 1, Complete: true, Members: members}, notices: map[string]notice{},
 		answer: http.StatusNoContent, released: make(chan struct{})}
 	mux := http.NewServeMux()
@@ -199,7 +199,7 @@
 }
 
 // say sends a line on the newest watch.
-func (d *fakeDiscovery) say(t *testing.T, line string) {
+func (d *fakeDiscovery) say(t testing.TB, line string) {
 	t.Helper()
 	waitFor(t, "a watch", func() bool { d.mu.Lock(); defer d.mu.Unlock(); return len(d.lines) > 0 })
 	d.mu.Lock()
@@ -220,7 +220,7 @@
 	body             []byte
 }
 
-func newFakeEndpoint(t *testing.T, answer func(w http.ResponseWriter, r *http.Request, n int)) *fakeEndpoint {
+func newFakeEndpoint(t testing.TB, answer func(w http.ResponseWriter, r *http.Request, n int)) *fakeEndpoint {
 	e := &fakeEndpoint{answer: answer}
 	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
@@ -270,7 +270,7 @@
 }
 
 // testConfig writes a configuration and returns the environment that names it.
-func testConfig(t *testing.T, d *fakeDiscovery, diskMB int, known ...core.Member) map[string]string {
+func testConfig(t testing.TB, d *fakeDiscovery, diskMB int, known ...core.Member) map[string]string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0") // a free port; it is let go at once
 	if err != nil {
@@ -308,7 +308,7 @@
 	exited chan error // of those that another starts
 }
 
-func startChild(t *testing.T, env map[string]string) *child {
+func startChild(t testing.TB, env map[string]string) *child {
 	t.Helper()
 	c := &child{cmd: exec.Command(os.Args[0]), env: env}
 	c.cmd.Env = append(os.Environ(), childEnv+"=1")
@@ -324,11 +324,11 @@
 	return c
 }
 
-type testWriter struct{ t *testing.T }
+type testWriter struct{ t testing.TB }
 
 func (w testWriter) Write(p []byte) (int, error) { os.Stderr.Write(p); return len(p), nil }
 
-func (c *child) ready(t *testing.T) {
+func (c *child) ready(t testing.TB) {
 	t.Helper()
 	waitFor(t, "PONG", func() bool {
 		conn, err := net.Dial("tcp", c.env["ROUTER_LISTEN"])
@@ -346,12 +346,12 @@
 
 // testClient hands messages in over one connection.
 type testClient struct {
-	t *testing.T
+	t testing.TB
 	net.Conn
 	in *bufio.Reader
 }
 
-func dialClient(t *testing.T, addr string) *testClient {
+func dialClient(t testing.TB, addr string) *testClient {
 	t.Helper()
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
