Rehearsal of a holiday: 10,000 quiet partners, 500 return in one second, 100 of them cold

Need: that a relay whose partners rest serves them when they return together, and pushes nobody over, was shown in cores alone.

Change: a scenario can name quiet destinations of the list (discovery.quiet), how many are awake (relays.awake, which writes the operator's file), and partners whose messages come within one second (return_s, return_burst).

--- a/cmd/troutusher-kit/kit_test.go
+++ b/cmd/troutusher-kit/kit_test.go
@@ -122,7 +122,7 @@
 		{[]string{"put", "--help"}, 0, "usage: troutusher put"},
 		{[]string{"rehearse", "--list"}, 0, "rush       30 s"},
 		{[]string{"rehearse", "--show", "rush"}, 0, "[[fault]]"},
-		{[]string{"rehearse", "--show", "rash"}, 2, "no scenario \"rash\"; there are calm, overlap, restarts, rush, tls-flood, tls, upgrade-loop, upgrades"},
+		{[]string{"rehearse", "--show", "rash"}, 2, "no scenario \"rash\"; there are calm, holiday, overlap, restarts, rush, tls-flood, tls, upgrade-loop, upgrades"},
 		{[]string{"reherse"}, 2, "unknown command \"reherse\""},
 		{[]string{"rehearse", "rash"}, 2, "no scenario"},
 		{[]string{"rehearse", "calm", "rush"}, 2, "too many arguments"},
--- a/internal/rehearse/scenario/plan.go
+++ b/internal/rehearse/scenario/plan.go
@@ -60,6 +60,7 @@
 	forFaults
 	forKeys
 	forWork
+	forReturns
 )
 
 // Micros turns milliseconds into the plan's unit.
@@ -191,6 +192,13 @@
 			}
 		}
 	}
+	returns := draw.NewStream(p.Seed, forReturns)
+	for part := range p.Specs {
+		x := &s.Partners[of[part]]
+		for range x.ReturnBurst {
+			add(x.ReturnS+returns.Unit(), returns.Pick(p.Specs[part].Mix), part, returns)
+		}
+	}
 	slices.SortStableFunc(p.Arrivals, func(a, b Arrival) int { return int(a.At - b.At) })
 	for i := range p.Arrivals {
 		if s.Classes[p.Arrivals[i].Class].Repeat == "keyed" {
--- a/internal/rehearse/scenario/scenario.go
+++ b/internal/rehearse/scenario/scenario.go
@@ -56,6 +56,7 @@
 	RetryAfter  bool     `toml:"retry_after"`
 	MaxRetryMS  float64  `toml:"max_retry_after_ms"`
 	ConnectMS   float64  `toml:"connect_timeout_ms"`
+	Awake       int      `toml:"awake"` // destinations that are awake for any time; 0 for what the relays have by themselves
 }
 
 // Clients are those who hand messages in.
@@ -72,6 +73,7 @@
 type Discovery struct {
 	DelayMS  float64 `toml:"delay_ms"`  // changes arrive so much later ...
 	SpreadMS float64 `toml:"spread_ms"` // ... and up to so much more, each relay for itself
+	Quiet    int     `toml:"quiet"`     // destinations that the list names, and nobody sends to
 }
 
 // Rules are the figures of the six rules.
@@ -130,6 +132,8 @@
 	Portal       string             `toml:"portal"` // whose messages it gets; any where empty
 	Share        float64            `toml:"share"`  // of the traffic, all of them together
 	Classes      []string           `toml:"classes"`
+	ReturnS      float64            `toml:"return_s"`     // in the second after this ...
+	ReturnBurst  int                `toml:"return_burst"` // ... each of them gets so many messages beside its share
 	Endpoints    int                `toml:"endpoints"`
 	Routes       string             `toml:"routes"`         // shared or apart
 	Capacity     float64            `toml:"capacity_per_s"` // of one warm endpoint
@@ -414,6 +418,7 @@
 	dayMS        = 24 * 3600 * 1000
 	messagesMost = 2_000_000
 	endsMost     = 2000
+	quietMost    = 20_000 // of a list of 4 MB
 )
 
 func (c *checker) scenario(s *Scenario) {
@@ -437,6 +442,7 @@
 		{"clients.backoff_ms", s.Clients.BackoffMS, 1, 60_000}, {"clients.honour", s.Clients.Honour, 0, 1},
 		{"clients.front_notice_ms", s.Clients.FrontNoticeMS, 0, 60_000}, {"clients.bodies", float64(s.Clients.Bodies), 0, 64 << 10},
 		{"discovery.delay_ms", s.Discovery.DelayMS, 0, 60_000}, {"discovery.spread_ms", s.Discovery.SpreadMS, 0, 60_000},
+		{"discovery.quiet", float64(s.Discovery.Quiet), 0, quietMost}, {"relays.awake", float64(s.Relays.Awake), 0, quietMost},
 		{"rules.drain_grace_ms", r.DrainGraceMS, 0, 60_000}, {"rules.fall_multiple", r.FallMultiple, 1, 100},
 		{"rules.fall_ms", r.FallMS, 0, 60_000}, {"rules.cold_share", r.ColdShare, 0.01, 1}, {"rules.cold_ms", r.ColdMS, 0, 600_000},
 		{"rules.end_slack_ms", r.EndSlackMS, 0, 60_000}, {"rules.restart_grace_ms", r.RestartGraceMS, 0, 60_000},
@@ -541,7 +547,8 @@
 			{"queue", float64(p.Queue), 0, 1e6}, {"cv", p.CV, 0, 10}, {"wait_ms", p.WaitMS, 0, 600_000},
 			{"connections", float64(p.Connections), 0, 1e6}, {"idle_ms", p.IdleMS, 0, dayMS}, {"handshake_ms", p.HandshakeMS, 0, 60_000},
 			{"one_way_ms", p.OneWayMS, 0, 60_000}, {"cold_share", p.ColdShare, 0.01, 1}, {"cold_ms", p.ColdMS, 0, 600_000},
-			{"key_memory_ms", p.KeyMemoryMS, 0, 600_000}, {"errors", p.Errors, 0, 1}} {
+			{"key_memory_ms", p.KeyMemoryMS, 0, 600_000}, {"errors", p.Errors, 0, 1},
+			{"return_s", p.ReturnS, 0, max(s.LengthS-1, 0)}, {"return_burst", float64(p.ReturnBurst), 0, 1000}} {
 			c.between(key+"."+x.key, x.v, x.min, x.max)
 		}
 		c.word(key+".routes", p.Routes, "shared", "apart")
--- a/internal/rehearse/stage/secure.go
+++ b/internal/rehearse/stage/secure.go
@@ -27,7 +27,8 @@
 	by    map[string][]*h1.Show // by fault and endpoint
 }
 
-// newSecrets makes them in a folder; nil where no partner is reached over TLS.
+// newSecrets makes them in a folder; nil where no partner is reached over TLS and
+// the relays are told nothing else.
 func newSecrets(p *scenario.Plan, dir string) (*secrets, error) {
 	s := &secrets{file: filepath.Join(dir, "operator.toml"), shows: make([]*h1.Show, len(p.Endpoints)), by: map[string][]*h1.Show{}}
 	kinds := []string{scenario.TLSRotate, scenario.TLSExpired, scenario.TLSWrongName, scenario.TLSWrongRoot, scenario.TLSReset, scenario.TLSForget}
@@ -125,6 +126,10 @@
 			fmt.Fprintf(&text, "certificate = %q\nkey = %q\n", cert, key)
 		}
 	}
+	if n := p.Scenario.Relays.Awake; n > 0 {
+		any = true
+		fmt.Fprintf(&text, "[rest]\nawake = %d\nquiet_s = 10\n", n)
+	}
 	if !any {
 		return nil, nil
 	}
--- a/internal/rehearse/stage/settings.go
+++ b/internal/rehearse/stage/settings.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"net"
 
 	"troutusher/internal/rehearse/scenario"
+	"troutusher/internal/standin/loopback"
 	"troutusher/internal/standin/partner"
 	"troutusher/internal/standin/registry"
 )
@@ -105,6 +107,17 @@
 	return all
 }
 
+// quiet are the destinations that the list names beside the partners, and that no
+// client asks for: nobody is there.
+func quiet(p *scenario.Plan) (all []registry.Member) {
+	halls := p.Scenario.Relays.Halls
+	for i := range p.Scenario.Discovery.Quiet {
+		all = append(all, registry.Member{ID: fmt.Sprintf("q-%05d", i), HostPort: net.JoinHostPort(loopback.Host(), "9"), Locality: halls[i%len(halls)],
+			Flavor: kindOf(p, 0), Cell: len(p.Specs) + 1 + i, Phase: registry.Up, Size: 1})
+	}
+	return all
+}
+
 // Config is what a relay finds in the file that ROUTER_CONFIG names.
 type Config struct {
 	Name      string        `json:"name"`
--- a/internal/rehearse/stage/stage.go
+++ b/internal/rehearse/stage/stage.go
@@ -132,7 +132,7 @@
 	}
 	d := &p.Scenario.Discovery
 	s.reg, err = registry.New(registry.Config{Relays: n, Seed: p.Seed, Clock: s.now, Emit: s.hub.emit,
-		Delay: millis(d.DelayMS), Spread: millis(d.SpreadMS),
+		Delay: millis(d.DelayMS), Spread: millis(d.SpreadMS), Quiet: quiet(p),
 		Members: func(relay int) []registry.Member {
 			return members(p, func(ep int) string { return s.world.Addr(ep, relay) })
 		}})
--- a/internal/standin/registry/registry.go
+++ b/internal/standin/registry/registry.go
@@ -58,6 +58,7 @@
 type Config struct {
 	Relays        int
 	Members       func(relay int) []Member // endpoint i of the plan at index i
+	Quiet         []Member                 // named by each whole list beside them; they never change
 	Delay, Spread time.Duration            // changes arrive so much later, and up to so much more
 	Seed          uint64
 	Clock         func() trace.Time
@@ -319,6 +320,7 @@
 			l.Members = append(l.Members, m)
 		}
 	}
+	l.Members = append(l.Members, a.cfg.Quiet...)
 	return l
 }
 
