On a ramp less is saved up: a fall time bears its average, not its end

Followed by its calls: none of the second before the kill counts; the relay waits 0.3 s for discovery, its budget fills to a quarter, goes at once (10 calls in 1 ms) and is refilled at three quarters: all of the budget within one fall time, as budgetRate means it. But that budget was factor * ramped(now) * fall, while the partner bears the average over the last fall time, which on a ramp of 4 s is 16% less. Ruled out: calls counted twice, probes, connections (each call by its number), a file that was too old (149 ms). Lines at fault: depth in decide.go's budgetRate.

Change: what may be saved up on a ramp is less by what the ramp rises in half a fall time; the pace stays. A relay that sends all the time has nothing saved up.

Tests: TestBudgetIsOfTheFallTime (fails without it: 240 where 150 is borne), a process killed 40 times while it writes the learned file: the version it last told of or the next, whole; the comparison on sockets, by hand.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -668,12 +668,20 @@
 	whole := p.capacity(ep.lane)
 	age := float64(p.now-ep.firstBad)/float64(second) + fall
 	sharers := min(float64(p.set.Relays), max(1, sharerPart*whole*age))
-	b := budgetPart * p.set.OverloadFactor * p.ramped(ep) * whole / float64(max(n, 1)) * fall / sharers
+	part := budgetPart * p.set.OverloadFactor * whole / float64(max(n, 1)) * fall / sharers
+	b := part * p.ramped(ep)
 	if depth = b / 4; ep.opening > 0 { // a connection and its call come at once
 		depth = max(depth, 1+ep.opening)
 	}
 	if depth >= 1 && depth <= b {
-		return (b - depth) / fall, depth, false
+		rate = (b - depth) / fall
+		if ep.goodAt > 0 {
+			// On a ramp it bears what a fall time allows on average, not what it can do by its end: so
+			// less may be saved up, by a relay that was restarted or had nothing to send.
+			rise := (1 - p.set.StartCapacity) * fall * 1e6 / float64(max(p.set.RampTime, 1))
+			depth = max(depth-part*rise/2, 1+ep.opening)
+		}
+		return rate, depth, false
 	}
 	return b / fall, depth, true
 }
--- a/decide/rest_test.go
+++ b/decide/rest_test.go
@@ -199,3 +199,26 @@
 		t.Error("the wrong one is put away")
 	}
 }
+
+// What a cold endpoint may be sent in any fall time on its ramp, a burst of all that is saved up and the refill
+// behind it, is what it could do in that time on average, and not what it can do by its end.
+func TestBudgetIsOfTheFallTime(t *testing.T) {
+	for _, ramp := range []Time{4 * second, 10 * second, 13 * second} {
+		s := one()
+		s.Relays, s.RampTime, s.FallTime = 1, ramp, 2*second
+		r := newRig(t, s, ready(1, 100), ready(2, 100))
+		allOut(r)
+		ep := r.p.eps[1]
+		r.p.healthy(ep, r.now+second)
+		fall := float64(s.FallTime) / 1e6
+		for at := ep.goodAt + s.FallTime; at < ep.goodAt+ramp; at += second / 10 {
+			r.p.now = at
+			rate, depth, rare := r.p.budgetRate(ep)
+			mean := s.StartCapacity + (1-s.StartCapacity)*float64(at-s.FallTime/2-ep.goodAt)/float64(ramp)
+			room := s.OverloadFactor * mean * 50 * fall
+			if sum := depth + rate*fall; rare || sum > max(1.001*room, rate*fall+1) || sum < 0.99*room {
+				t.Fatalf("ramp of %d s, %.1f s on: %.1f in a fall time, it bears %.1f", ramp/second, float64(at-ep.goodAt)/1e6, sum, room)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/learned/kill_test.go
@@ -0,0 +1,88 @@
+package learned
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+const killEnv = "TROUTUSHER_TEST_LEARNED"
+
+func TestMain(m *testing.M) {
+	if dir := os.Getenv(killEnv); dir != "" {
+		writeOn(dir)
+	}
+	os.Exit(m.Run())
+}
+
+// writeOn writes one version after another, and tells of each that is written.
+func writeOn(dir string) {
+	s := NewStore(dir, "n1", 3<<20)
+	for rev := int64(1); ; rev++ {
+		f := sample("")
+		f.State.Revision = rev
+		for range rev % 50 { // of any length
+			f.State.Policy.Lanes = append(f.State.Policy.Lanes, f.State.Policy.Lanes[0])
+		}
+		if _, err := s.Write(f); err != nil {
+			fmt.Println(err)
+			os.Exit(1)
+		}
+		fmt.Println(rev)
+	}
+}
+
+// A process that is killed by force while it writes, wherever it is: the version
+// that it last told of is read, or the one after it, whole; and the folder holds
+// nothing else after.
+func TestKilledWhileWriting(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	newer := 0
+	for round := range 40 {
+		dir := t.TempDir()
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), killEnv+"="+dir)
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		kill := 1 + rng.Int64N(12)
+		lines := bufio.NewScanner(out)
+		last := int64(0)
+		for lines.Scan() {
+			n, err := strconv.ParseInt(strings.TrimSpace(lines.Text()), 10, 64)
+			if err != nil {
+				t.Fatalf("round %d: %s", round, lines.Text())
+			}
+			if last = n; n == kill { // and it writes on until it is dead: what it says meanwhile counts
+				go func() {
+					for end := time.Now().Add(time.Duration(rng.Int64N(800)) * time.Microsecond); time.Now().Before(end); {
+					}
+					cmd.Process.Kill()
+				}()
+			}
+		}
+		cmd.Wait()
+		s := NewStore(dir, "n1", 3<<20)
+		f, err := s.Read()
+		if err != nil || f == nil || f.State.Revision < last || f.State.Revision > last+1 || len(f.State.Policy.Lanes) != 1+int(f.State.Revision%50) {
+			t.Fatalf("round %d: killed after version %d: %+v, %v", round, last, f, err)
+		}
+		if f.State.Revision > last {
+			newer++
+		}
+		if got := names(t, dir); len(got) != 1 || got[0] != Name {
+			t.Errorf("round %d: in the folder: %v", round, got)
+		}
+	}
+	t.Logf("%d of 40 were killed between the file's replacement and their word of it", newer)
+}
