--- a/internal/core/rest_test.go
+++ b/internal/core/rest_test.go
@@ -72,9 +72,9 @@
 	}
 }
 
-// handOverQuietly brings what is under way to rest and hands over, as the waits'
-// test does.
-func (w *world) handOverQuietly(b *book) {
+// handOverQuietly brings what is under way to rest first and hands over; what is
+// out whole goes on.
+func (w *world) handOverQuietly(b *book) (goesOn int) {
 	w.core.Cede()
 	for _, c := range slices.Clone(w.driver.calls) {
 		if c.step < 3 {
@@ -89,7 +89,7 @@
 	}
 	d.sent, d.kept, d.longer, d.asked = w.driver.sent, w.driver.kept, w.driver.longer, w.driver.asked
 	w.driver = d
-	w.handOver(b, shift)
+	return w.handOver(b, shift)
 }
 
 // sends has one message be handed in, and tells when and where it was sent within
--- a/internal/core/waits_test.go
+++ b/internal/core/waits_test.go
@@ -189,24 +189,7 @@
 		w.log = b
 		for turn := range 4 {
 			w.playFrom(turn*120, 120)
-			w.core.Cede() // what is under way comes to rest first; what is out whole goes on
-			for _, c := range slices.Clone(w.driver.calls) {
-				if c.step < 3 {
-					w.driver.end(c, &Result{What: decide.NotSent})
-				}
-			}
-			w.rest()
-			shift := decide.Time(w.rng.Int64N(2e9)) - 1e9
-			d := newDriver(w)
-			for name, until := range w.driver.told {
-				d.told[name] = until + shift
-			}
-			d.sent, d.kept = w.driver.sent, w.driver.kept
-			for name := range w.driver.asked {
-				d.asked[name] = true
-			}
-			w.driver = d
-			goesOn += w.handOver(b, shift)
+			goesOn += w.handOverQuietly(b)
 		}
 		sent += w.driver.sent
 		kept += w.driver.kept
