--- a/cmd/troutusher-kit/fleet.go
+++ b/cmd/troutusher-kit/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -16,11 +17,12 @@
 }
 
 type fleetReport struct {
-	Dir     string `arg:"" help:"Folder with a file NAME.log for each relay: what it wrote to standard error."`
-	Dest    *int   `help:"Show the seconds of this destination, not of all."`
-	Message string `xor:"what" placeholder:"ID" help:"Print what all logs tell of this one message, in order of time, instead."`
-	Ends    bool   `xor:"what" help:"Print what became of the messages that were taken on, by cause, instead."`
-	HTML    string `name:"html" placeholder:"FILE" help:"Write a page with plots as well. It needs nothing else to be looked at."`
+	Dir      string `arg:"" help:"Folder with a file NAME.log for each relay: what it wrote to standard error."`
+	Dest     *int   `help:"Show the seconds of this destination, not of all."`
+	Message  string `xor:"what" placeholder:"ID" help:"Print what all logs tell of this one message, in order of time, instead."`
+	Ends     bool   `xor:"what" help:"Print what became of the messages that were taken on, by cause, instead."`
+	Restarts bool   `xor:"what" help:"Print what became of the messages that restarts found taken on, instead; exit code 1 where over half of the untried ones were ended with no call."`
+	HTML     string `name:"html" placeholder:"FILE" help:"Write a page with plots as well. It needs nothing else to be looked at."`
 }
 
 func (c *fleetReport) Run(out io.Writer) error {
@@ -38,6 +40,13 @@
 		}
 		return e.WriteText(out)
 	}
+	if c.Restarts {
+		r, err := fleetlog.ReadRestarts(os.DirFS(c.Dir), c.Dir)
+		if err != nil {
+			return err
+		}
+		return errors.Join(r.WriteText(out), r.Broken())
+	}
 	day, err := fleetlog.Read(os.DirFS(c.Dir), c.Dir)
 	if err != nil {
 		return err
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -190,6 +190,7 @@
 	told    bool           // the log tells of it from its hand-in on
 	pending *decide.Action // a send that waits for the client to have heard
 	ending  *Record        // its end, likewise
+	found   foundAs
 	call    *Call
 }
 
@@ -415,10 +416,12 @@
 			continue
 		}
 		class, ok := r.set.Classes[rec.Class]
+		r.found(m)
 		if !ok { // the settings have changed: nothing is promised of its effect
 			m.over = true
 			r.drop(m)
-			r.end(m, GivenUp, 0) // and it counts nowhere: its class has no figure
+			r.uncalled(m, GivenUp, decide.Unknown.String())
+			r.end(m, GivenUp, 0) // and it counts nowhere else: its class has no figure
 			continue
 		}
 		e := decide.Event{Kind: decide.EvMessage, Message: m.num, Class: class, Dest: rec.Dest, Tenant: -1,
@@ -756,6 +759,7 @@
 		return
 	}
 	r.drop(m)
+	r.uncalled(m, word, a.Why.String())
 	r.tell(slog.LevelInfo, story.Ended, "message", m.rec.ID, "class", m.rec.Class, "dest", m.rec.Dest, "outcome", word, "why", a.Why.String(), "tries", m.tries,
 		"left_ms", r.left(m))
 	if !m.heard {
@@ -904,6 +908,7 @@
 		r.calls--
 	}
 	r.tally.Add(m.rec.Dest, ended[o.What], 1)
+	r.called(m, o.What)
 	r.tally.Add(m.rec.Dest, tally.Dialed, int64(o.Opened))
 	r.events = append(r.events, e)
 	if c.ep != nil && c.ep.open && c.ep.suspect(o, r.now) {
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -43,6 +43,15 @@
 	Probed    = "probed"
 	Untold    = "untold" // messages shown to the policy, of which the log does not tell from their hand-in on
 	Back      = "back_"  // handed back or refused, with the rule that decided it
+
+	// Of those taken up, the ones of which no attempt was ever logged.
+	Untried          = "untried"
+	UntriedOver      = "untried_over"      // of them, their time was over as the process found them
+	UntriedNowhere   = "untried_nowhere"   // of them, in time, and no list named an endpoint for them
+	UntriedTried     = "untried_tried"     // a call of it has gone out since
+	UntriedDelivered = "untried_ok"        // of these, delivered
+	UntriedBack      = "untried_back_"     // handed back with no call, with the rule that decided it
+	UntriedGivenUp   = "untried_given_up_" // given up with no call, likewise
 )
 
 // Line is the text of a tally's line; Longest names a field that the driver adds,
