A repeat of a keyed message is written only while its endpoint still knows the key

Ruled out: no attempt was begun after its window (all logs); no hidden first attempt; the first site never shows it, since its window is as long as its deadline. Lines at fault: decide's spent asks for the window as an attempt begins, and pool's write asked nobody again before the last byte. Change: a repeat carries the moment by which its last byte goes out (decide: lastByte, a twentieth of the window and 200 ms at most before its end, for the way); the gate holds it against it before the first and the last byte, the core where a call was put off. What is too late never ran.

--- a/decide/api.go
+++ b/decide/api.go
@@ -258,7 +258,7 @@
 
 // Kinds of action, each with the fields of Action that it uses.
 const (
-	ActSend    ActionKind = iota // Message, Endpoint, At (the moment it times out), Cold, Opens
+	ActSend    ActionKind = iota // Message, Endpoint, At (the moment it times out), By, Cold, Opens
 	ActRefuse                    // Message, After (advice to the client), Why
 	ActFail                      // Message, Why
 	ActCancel                    // Message, Attempt
@@ -280,6 +280,7 @@
 	Message  uint32
 	Endpoint Endpoint
 	At       Time
+	By       Time // ActSend: its last byte goes out by then or never; 0 for any time. A connection may come up late
 	After    Time
 	Token    uint64
 	Text     string
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -435,7 +435,18 @@
 	if m.doubtAt == 0 || m.class.Repeat == Safe {
 		return false
 	}
-	return m.class.Repeat == Unsafe || p.now-m.doubtAt > m.class.DedupWindow-2*p.set.Tick
+	return m.class.Repeat == Unsafe || p.now >= p.lastByte(m)
+}
+
+const keyedWay = Time(200e3) // from a repeat's last byte to its endpoint at most, or 1/20 of the window
+
+// lastByte is the moment from which a message is not remembered for certain where a repeat of it arrives; 0
+// where that does not matter. A connection that comes up late makes a repeat late that was in time.
+func (p *Policy) lastByte(m *message) Time {
+	if m.doubtAt == 0 || m.class.Repeat != Keyed {
+		return 0
+	}
+	return m.doubtAt + m.class.DedupWindow - max(2*p.set.Tick, min(keyedWay, m.class.DedupWindow/20))
 }
 
 // outcome books the end of an attempt, for the message, its call, its endpoint and its lane.
@@ -1089,8 +1100,8 @@
 	m.tries++
 	c.left++
 	c.msgs = append(c.msgs, m)
-	p.act(Action{Kind: ActSend, Message: m.id, Endpoint: c.ep.id, At: p.cutAt(m, c.ep), Cold: c.ep.sick,
-		Opens: c.opens})
+	p.act(Action{Kind: ActSend, Message: m.id, Endpoint: c.ep.id, At: p.cutAt(m, c.ep), By: p.lastByte(m),
+		Cold: c.ep.sick, Opens: c.opens})
 }
 
 // cutAt is when an attempt times out.
--- a/decide/guards_test.go
+++ b/decide/guards_test.go
@@ -28,7 +28,9 @@
 		{"burst of a connection", "depth = max(depth, 1+ep.opening)", "_ = 0", "TestFailBackBudgetWithConnections"},
 		{"wait", " || ep.lane.waitUntil > p.now || ", " || ", "TestRules"},
 		{"unsafe", "if m.doubtAt == 0 || m.class.Repeat == Safe {", "if m.doubtAt == 0 || m.class.Repeat != Keyed {", "TestRules"},
-		{"dedup window", " || p.now-m.doubtAt > m.class.DedupWindow-2*p.set.Tick", "", "TestRules"},
+		{"dedup window", " || p.now >= p.lastByte(m)", "", "TestRules"},
+		{"dedup window of a late connection", "By: p.lastByte(m),", "By: 0,", "TestRepeatsStayInTheirWindow"},
+		{"way of a repeat", "max(2*p.set.Tick, min(keyedWay, m.class.DedupWindow/20))", "2*p.set.Tick", "TestRepeatsStayInTheirWindow"},
 		{"dedup zone", "m.class.ZoneOnly && ep.zone != m.doubtIn", "false", "TestRules"},
 		{"order", "l.turns[0] != m || ", "", "TestRules"},
 		{"rest of a key", "m.tries == 0 && l.rest > p.now", "false", "TestRules"},
@@ -83,3 +85,49 @@
 		})
 	}
 }
+
+// A keyed message that may have run goes out again only as long as its endpoint
+// knows the key for certain as it arrives, and each repeat says until when; one
+// whose time for that is over is ended, and never sent.
+func TestRepeatsStayInTheirWindow(t *testing.T) {
+	for _, window := range []Time{1 * second, 6 * second, 20 * second} {
+		s := one()
+		s.Classes = []Class{{Name: "k", Aim: second / 2, Deadline: 30 * second, Worth: 1, LateWorth: 0.5, Repeat: Keyed, DedupWindow: window}}
+		p, err := New(s, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := Time(100 * second)
+		list := Event{Kind: EvList, List: ListFull, Entries: []Entry{{Endpoint: 1, Dest: 1, State: Ready, Rate: 1000}, {Endpoint: 2, Dest: 1, State: Ready, Rate: 1000}}}
+		events := []Event{list, {Kind: EvMessage, Message: 1, Dest: 1, Left: 30 * second}}
+		var first Time
+		sends, ended := 0, false
+		for range 20000 {
+			acts := p.Step(now, events, nil)
+			events = nil
+			for _, a := range acts {
+				switch a.Kind {
+				case ActSend:
+					if sends++; sends == 1 {
+						if first = now; a.By != 0 {
+							t.Errorf("window %d: a first attempt has until %d", window, a.By-now)
+						}
+					} else if most := first + window - window/20; a.By <= now || a.By > max(most, first+window-keyedWay) {
+						t.Errorf("window %d: a repeat %d after the first has until %d", window, now-first, a.By-first)
+					}
+					events = append(events, Event{Kind: EvOutcome, Message: 1, Attempt: a.Attempt, Endpoint: a.Endpoint, Outcome: Errored, Took: 1000})
+					events[len(events)-1].Attempt = sends - 1
+				case ActRefuse, ActFail:
+					ended = true
+				}
+			}
+			if ended {
+				break
+			}
+			now += 5e3
+		}
+		if sends < 2 || !ended || now-first > window {
+			t.Errorf("window %d: %d sends, ended %v after %d", window, sends, ended, now-first)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -66,6 +66,7 @@
 	Rec      *Record // of its message
 	Endpoint decide.Endpoint
 	Limit    decide.Time // how long it may take
+	By       decide.Time // its last byte goes out by then or never; 0 for any time
 	Cold     bool        // at an endpoint where one connection is opened at a time
 	Opens    bool        // one is paid for; at a cold endpoint none else is opened
 	Handle   any         // the driver's
@@ -836,11 +837,11 @@
 func (r *Core) send(m *message, a *decide.Action) {
 	ep := r.byNum[a.Endpoint]
 	limit := a.At - r.now
-	if ep == nil || ep.gone || ep.cell != m.rec.Dest || limit <= 0 || m.over {
+	if ep == nil || ep.gone || ep.cell != m.rec.Dest || limit <= 0 || m.over || a.By > 0 && r.now > a.By {
 		r.notSent(m, a.Endpoint)
 		return
 	}
-	c := &Call{Rec: m.rec, Endpoint: ep.num, Limit: limit, Cold: a.Cold, Opens: a.Opens, m: m, ep: ep, apart: r.apart(ep.flavor), attempt: m.tries - 1, sent: r.now}
+	c := &Call{Rec: m.rec, Endpoint: ep.num, Limit: limit, By: a.By, Cold: a.Cold, Opens: a.Opens, m: m, ep: ep, apart: r.apart(ep.flavor), attempt: m.tries - 1, sent: r.now}
 	m.call = c
 	ep.calls = append(ep.calls, c)
 	r.calls++
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -31,11 +31,15 @@
 	return fmt.Sprintf("told to wait for %.3f s more", float64(e.Left)/1e6)
 }
 
+// ErrLate is a call that would come too late at its endpoint to be known there as
+// a repeat.
+var ErrLate = errors.New("too late to be remembered as a repeat")
+
 // Refused reports whether an error is this package's: the call has not gone out,
 // and its endpoint was not asked.
 func Refused(err error) bool {
 	var w ErrWait
-	return errors.Is(err, ErrGone) || errors.As(err, &w)
+	return errors.Is(err, ErrGone) || errors.Is(err, ErrLate) || errors.As(err, &w)
 }
 
 // Scope is all that one wait binds. The zero value is ready.
@@ -92,7 +96,10 @@
 	gate  *Gate
 	stop  func(error) // called with the scope's lock held: it may not wait or call back
 	begun bool        // its first byte may be out
-	why   error       // it was stopped before that
+	// By is the last moment for its last byte; 0 for none. Its call sets it as it
+	// enters.
+	By  decide.Time
+	why error // it was stopped before that
 }
 
 // Enter is a call's that is about to get its connection. Where it could not go
@@ -118,6 +125,8 @@
 		return ErrGone
 	case s.until > now:
 		return ErrWait{s.until - now}
+	case p.By > 0 && now > p.By:
+		return ErrLate
 	}
 	return nil
 }
@@ -137,8 +146,11 @@
 	s := p.gate.scope
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.until > now {
+	switch {
+	case s.until > now:
 		return ErrWait{s.until - now}
+	case p.By > 0 && now > p.By:
+		return ErrLate
 	}
 	return nil
 }
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -38,7 +38,8 @@
 
 // call is one call out.
 type call struct {
-	written func() // told once its last byte is written; may be nil
+	by      decide.Time // its last byte goes out by then or never; 0 for any time
+	written func()      // told once its last byte is written; may be nil
 	ctx     context.Context
 	stop    context.CancelCauseFunc
 	before  time.Duration // it was out for so long in another process
@@ -173,6 +174,7 @@
 		return nil, decide.NotSent, err
 	}
 	defer pass.Leave()
+	pass.By = c.by
 	for left := connsMost - 1; ; left-- {
 		conn, err := h.get(ctx, &c.want)
 		if why := pass.Stopped(); err != nil && (why != nil || neverAsked(err)) {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -504,7 +504,7 @@
 // send logs an attempt and then makes it.
 func (r *Relay) send(rec *record, out *core.Call) {
 	ctx, stop := context.WithCancelCause(r.ctx)
-	c := &call{ctx: ctx, stop: stop, want: want{cold: out.Cold, paid: out.Opens}, written: func() { r.board.Sends.Add(1) }}
+	c := &call{ctx: ctx, stop: stop, want: want{cold: out.Cold, paid: out.Opens}, by: out.By, written: func() { r.board.Sends.Add(1) }}
 	out.Handle = c
 	h, limit := r.homes[out.Endpoint], time.Duration(out.Limit)*time.Microsecond
 	r.wal.submit(rec, func(err error) {
