A silent watch is replaced before what it missed counts as told; lists in any lines

Seen by adding up: a watch was taken for dead after 3.5 s, the next call came up to 6.1 s later where 60 relays or more are, and was waited for 2.5 s: 12.1 s, where 6 s after the silence began its news counts as told. A watch that fell silent within its span counted as turned away, and the span grew to 16 s. A list over several lines was unreadable, and each cost a fetch up to 6 s later; one that its connection's end cut off as well. After an outage of the registry the next call came up to 6 s late, three times the grace of a drain. Lines at fault: registry's reach and Ended, relay's readLine. Change: an end of its own for silence (3 s; the next call within 1.6 s, with 1 s patience: 5.6 s at worst for 1 to a million relays, held by a test); what is not heard, or spoilt once, is asked for again within 1.1 s; lists are read as JSON values in whatever lines, a blank line is a sign of life only between two, one that does not go on for 1 s is spoilt.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -45,12 +44,12 @@
 	discAnswer = time.Second     // notices are answered at once, or the agent is down
 	listLong   = 8 << 20         // bytes; longer ones leave much to be collected
 	listBooked = 5 * time.Second // by then a list of a million has been booked
+	listWait   = time.Second     // for more of a list that has begun
 	listMost   = 4 << 20         // bytes of a list or a line, where the operator says nothing
 )
 
-// discSilence is after how long a watch is dead: it says something every 2 s.
-// Tests alone change it.
-var discSilence = 3500 * time.Millisecond
+// discSilence is after how long a watch is dead. Tests alone change it.
+var discSilence = registry.Silence
 
 // newPlainClient makes a client for the agent on this machine: few kept
 // connections, no proxy, no second protocol.
@@ -231,60 +230,50 @@
 		return end, err
 	}
 	defer resp.Body.Close()
-	quiet := time.AfterFunc(d.silence, func() { cancel(errors.New("silent")) })
+	quiet := time.AfterFunc(d.silence, func() { cancel(errSilent) })
 	defer quiet.Stop()
-	in := bufio.NewReader(resp.Body)
-	for {
-		var line []byte
-		if line, err = readLine(in, d.most); err != nil && len(line) == 0 {
-			break
-		}
+	lists := newLists(resp.Body, d.most, func() {
 		quiet.Reset(d.silence)
-		if text := bytes.TrimSpace(line); len(text) > 0 {
-			l, err := parseList(text)
-			if err != nil {
-				return registry.Garbled, err
-			}
-			switch d.follow.Take(l.Revision, l.Complete) {
-			case registry.Believe:
-				d.heard(l)
-				giveBack(len(text))
-			case registry.Ignore:
-				d.log.Warn("discovery: older than what is known", "revision", l.Revision)
-			case registry.Ask:
-				return registry.Foreign, fmt.Errorf("discovery: changes up to version %d build on none that is known", l.Revision)
-			}
-		}
 		d.answered() // an empty line as well: nothing has changed
+	})
+	torn := time.AfterFunc(time.Hour, func() { cancel(errTorn) })
+	defer torn.Stop()
+	lists.open = func(open bool) {
+		if torn.Stop(); open {
+			torn.Reset(listWait)
+		}
 	}
-	if errors.Is(err, bufio.ErrTooLong) {
-		return registry.Garbled, fmt.Errorf("discovery: %w", err)
-	}
-	if cause := context.Cause(ctx); cause != nil {
-		err = cause
-	}
-	return registry.Served, fmt.Errorf("discovery: %w", err)
-}
-
-// readLine reads a line of at most so many bytes, its end among them; what comes
-// with an error is what came of the last one. A long one is kept by nobody but the
-// caller: a watch lasts for days.
-func readLine(in *bufio.Reader, most int) ([]byte, error) {
-	line, err := in.ReadSlice('\n')
-	if err != bufio.ErrBufferFull {
-		return line, err
-	}
-	long := bytes.Clone(line)
-	for err == bufio.ErrBufferFull {
-		line, err = in.ReadSlice('\n')
-		if len(long)+len(line) > most {
-			return nil, bufio.ErrTooLong
+	for {
+		l, err := lists.next()
+		switch {
+		case errors.Is(context.Cause(ctx), errTorn):
+			return registry.Garbled, fmt.Errorf("discovery: %w", errTorn)
+		case errors.Is(context.Cause(ctx), errSilent):
+			return registry.Silent, fmt.Errorf("discovery: %w", errSilent)
+		case errors.Is(err, errGarbled):
+			return registry.Garbled, err
+		case err != nil: // what was cut off comes again, after the version that is known
+			return registry.Served, fmt.Errorf("discovery: %w", err)
+		}
+		switch d.follow.Take(l.Revision, l.Complete) {
+		case registry.Believe:
+			d.heard(l)
+			giveBack(lists.read)
+		case registry.Ignore:
+			d.log.Warn("discovery: older than what is known", "revision", l.Revision)
+		case registry.Ask:
+			return registry.Foreign, fmt.Errorf("discovery: changes up to version %d build on none that is known", l.Revision)
 		}
-		long = append(long, line...)
+		quiet.Reset(d.silence)
+		d.answered()
 	}
-	return long, err
 }
 
+var (
+	errSilent = errors.New("silent")
+	errTorn   = errors.New("a list has begun and does not go on")
+)
+
 // notice tells the platform how a message ended.
 type notice = core.Notice
 
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -8,10 +8,8 @@
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"testing"
-	"testing/iotest"
 	"time"
 
 	"troutusher/internal/core"
@@ -229,37 +227,3 @@
 		t.Error("a second try would be late")
 	}
 }
-
-// Lines of any length up to the most come whole, one after another, and what came
-// of the last one with its error; a longer one is an error at that length, however
-// long it is.
-func TestLinesOfAWatch(t *testing.T) {
-	const most = 100_000
-	for _, n := range []int{0, 1, 15, 16, 17, 4095, 4096, 4097, most - 1, most} {
-		a, b := strings.Repeat("a", max(n-1, 0)), strings.Repeat("b", n)
-		in := bufio.NewReader(io.MultiReader(strings.NewReader(a+"\n"+b), iotest.ErrReader(io.ErrUnexpectedEOF)))
-		line, err := readLine(in, most)
-		if string(line) != a+"\n" || err != nil {
-			t.Errorf("%d: %d bytes, %v", n, len(line), err)
-		}
-		if line, err = readLine(in, most); string(line) != b || err != io.ErrUnexpectedEOF {
-			t.Errorf("%d: the last %d bytes, %v", n, len(line), err)
-		}
-	}
-	in := bufio.NewReader(endless{})
-	if line, err := readLine(in, most); line != nil || err != bufio.ErrTooLong {
-		t.Errorf("endless: %d bytes, %v", len(line), err)
-	}
-	if line, err := readLine(bufio.NewReader(strings.NewReader(strings.Repeat("a", most)+"\n")), most); line != nil || err != bufio.ErrTooLong {
-		t.Errorf("one too long: %d bytes, %v", len(line), err)
-	}
-}
-
-type endless struct{}
-
-func (endless) Read(p []byte) (int, error) {
-	for i := range p {
-		p[i] = 'x'
-	}
-	return len(p), nil
-}
--- a/internal/source/registry/registry.go
+++ b/internal/source/registry/registry.go
@@ -24,12 +24,22 @@
 	perRelay    = 100 * time.Millisecond  // of the span, for each relay that may call at the same moment
 	spanMost    = 6 * time.Second         // a fleet of any size can be served in some seconds; what waits longer learns too late
 	turnedMost  = 16 * time.Second        // what the span grows to, each time doubled, where calls are turned away ...
-	unheardMost = time.Second             // ... and where nothing is heard, unless it is longer to begin with
+	unheardMost = time.Second             // ... and where nothing is heard: with the patience that is under the grace of a drain
 	soon        = time.Second             // an answer is waited for so long where few ask ...
 	late        = 2500 * time.Millisecond // ... and where many do, since it may have its turn after 2 s
 	oldMost     = 3                       // whole lists in a row older than what is known: the registry has begun anew
 )
 
+// What a silent watch misses counts as told so long after it fell silent, and a
+// drain in it is to be obeyed from then on. The worst case from its last byte until
+// its successor's answer has begun lies under that for a fleet of any size:
+// Silence + pause + silentSpan + soon, 5.6 s.
+const (
+	ToldAfter  = 6 * time.Second
+	Silence    = 3 * time.Second // a watch says something every 2 s
+	silentSpan = 1500 * time.Millisecond
+)
+
 // Call is one call to the registry.
 type Call struct {
 	Whole    bool          // the whole list; else a watch
@@ -48,10 +58,11 @@
 	Unheard                // nothing came in time, or there was no connection
 	Garbled                // what came cannot be read: what is known is not certain any more
 	Foreign                // the version is not known there
+	Silent                 // a watch said nothing for Silence: it is dead, and tells nothing of the registry's load
 )
 
 func (e End) String() string {
-	return [...]string{"none", "served", "refused", "unheard", "garbled", "foreign"}[min(e, Foreign)]
+	return [...]string{"none", "served", "refused", "unheard", "garbled", "foreign", "silent"}[min(e, Silent)]
 }
 
 // Follower is one relay's side of one registry.
@@ -65,6 +76,8 @@
 	heard bool // from this address
 	old   int  // whole lists in a row that were older
 	begun bool
+	mute  bool // the last call was a watch that fell silent
+	lost  bool // the last call was not heard: the registry is gone, and tells at its return what counts at once
 }
 
 // New makes the follower of a relay among so many (fewer than 1 counts as 1),
@@ -80,6 +93,7 @@
 // Move leaves for another address. Its versions may be its own.
 func (f *Follower) Move() {
 	f.known, f.heard, f.old, f.fails, f.turns, f.begun = false, false, 0, 0, 0, false
+	f.mute, f.lost = false, false
 }
 
 // Known reports whether the list is known up to a version.
@@ -88,7 +102,7 @@
 // Next is the next call.
 func (f *Follower) Next() Call {
 	c := Call{Whole: !f.known, From: f.rev, Patience: soon}
-	if f.span >= soon || f.fails >= 2 {
+	if !f.mute && (f.span >= soon || f.fails >= 2) {
 		c.Patience = late
 	}
 	if f.begun {
@@ -100,10 +114,16 @@
 
 // reach is the span over which the next call is drawn.
 func (f *Follower) reach() time.Duration {
+	if f.mute {
+		return min(f.span, silentSpan)
+	}
+	if f.lost && f.turns == 0 {
+		return min(f.span<<min(f.fails, 10), unheardMost)
+	}
 	if f.turns > 0 {
 		return min(f.span<<min(f.turns, 10), turnedMost)
 	}
-	return min(f.span<<min(f.fails, 10), max(f.span, unheardMost))
+	return min(f.span<<min(f.fails, 10), max(f.span, unheardMost)) // what it said was of no use
 }
 
 // Ended books the end of a call that took so long. A watch that broke sooner
@@ -112,9 +132,13 @@
 	switch {
 	case e == Served && (c.Whole || took > f.reach()):
 		f.fails, f.turns = 0, 0
+	case e == Silent: // it was let in, and its registry may serve the next one at once
+		f.fails, f.turns = 0, 0
 	default:
 		f.fails++
 	}
+	// What was spoilt once may have been word of a drain.
+	f.mute, f.lost = e == Silent, e == Unheard || f.fails == 1 && (e == Garbled || e == Foreign)
 	if e == Refused || e == Served && f.fails > 0 { // or let in and dropped: no better
 		f.turns++
 	}
--- a/internal/source/registry/registry_test.go
+++ b/internal/source/registry/registry_test.go
@@ -208,3 +208,56 @@
 		t.Errorf("%d calls in a minute", calls)
 	}
 }
+
+// A watch that falls silent is replaced before what it missed counts as told, in a
+// fleet of any size and whatever came before, and a silent watch is no busy
+// registry: the span does not grow. A watch that its registry closes is.
+func TestSilentWatchIsReplacedInTime(t *testing.T) {
+	for _, n := range []int{1, 3, 60, 300, 1 << 20} {
+		worst := time.Duration(0)
+		for seed := range uint64(300) {
+			f := New(n, seed)
+			f.Know(1)
+			if seed%3 == 1 {
+				f.Ended(f.Next(), Refused, 0)
+			}
+			for range 1 + seed%5 { // again and again, each sooner than the span
+				c := f.Next()
+				f.Take(1, false)
+				f.Ended(c, Silent, Silence)
+				next := f.Next()
+				worst = max(worst, Silence+next.After+next.Patience)
+				if next.Whole || next.From != 1 {
+					t.Fatalf("%d relays: %+v", n, next)
+				}
+			}
+		}
+		if worst >= ToldAfter {
+			t.Errorf("%d relays: a successor's answer may come %v after the last byte; %v counts as told", n, worst, ToldAfter)
+		}
+	}
+}
+
+// A registry that is not heard is asked again in less than the grace of a drain,
+// since what it tells at its return counts at once; one that turns calls away is not.
+func TestUnheardIsAskedAgainSoon(t *testing.T) {
+	for _, n := range []int{3, 300} {
+		f := New(n, 1)
+		f.Know(1)
+		for range 20 {
+			f.Ended(f.Next(), Unheard, soon)
+			if c := f.Next(); c.After > pause+unheardMost {
+				t.Errorf("%d relays: %+v", n, c)
+			}
+		}
+	}
+	f, most := New(300, 1), time.Duration(0)
+	f.Know(1)
+	for range 20 {
+		f.Ended(f.Next(), Refused, 0)
+		most = max(most, f.Next().After)
+	}
+	if most < 3*time.Second {
+		t.Errorf("turned away 20 times, and asks again within %v", most)
+	}
+}
