A relay that ends answers all that it has read, and lets in who waits

Seen by reading, then forced on sockets: the loop had the front let its clients go and, with nothing else open, returned in the same turn. The front reads each idle connection once more before it closes it; a request that it found there went into the mailbox of a loop that was gone, and its client saw an end without an answer: a lost message. Likewise the listener was closed over connections that lay in its queue. Ruled out: requests that are not read yet; a client sends those once more. Lines at fault: relay's loop (stopping), front's CloseListeners. Change: the front says when it has nothing open (End), and reads nothing after that; the loop ends then. Who is in the queue is let in first. A seam in the loop lets tests stop it between two steps.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -51,6 +51,9 @@
 	lingerMost = 256 << 10
 	tick       = 10 * time.Millisecond
 	frozenWait = 20 * time.Millisecond
+	// What a client sends as it connects comes a moment later; one that is let in as
+	// the front ends has that moment.
+	endingWait = 50 * time.Millisecond
 	// answerWait is how long a client waits for its answer. A request that has
 	// lain unread for longer is nobody's any more.
 	answerWait = 400 * time.Millisecond
@@ -179,6 +182,7 @@
 	stopped   bool
 	frozen    bool   // nothing is accepted, read or closed
 	quiet     func() // told once a frozen front owes no answer
+	ending    func() // told once a front that is to end owes none
 	failed    bool   // accept failed, and that was told
 
 	mu      sync.Mutex
@@ -412,11 +416,57 @@
 
 // CloseListeners ends the accepting of connections.
 func (f *Front) CloseListeners() {
-	f.do(func() {
+	f.do(f.closeListeners)
+}
+
+func (f *Front) closeListeners() {
+	f.letAllIn()
+	for _, l := range f.listeners {
+		l.Close()
+	}
+}
+
+// letAllIn lets in who waits in the listeners' queues by now, as far as there are
+// places: with its listener each of them would be reset, maybe under a request.
+func (f *Front) letAllIn() {
+	f.retry = 0
+	for again := true; again && f.retry == 0; {
+		again = false
 		for _, l := range f.listeners {
-			l.Close()
+			if l != nil && !l.isClosed && l.asked() {
+				l.waiting, again = true, true
+			}
 		}
+		f.acceptAll()
+	}
+}
+
+// End lets go of every client for good: what was sent by now is answered, and each
+// connection closes between requests. done is called, in the front's goroutine,
+// once nothing that was read is without its answer. From then on nothing is
+// accepted or read, so that no request is read that Close would cut off.
+func (f *Front) End(done func()) {
+	f.do(func() {
+		f.ending = done
+		f.book.Stop(f.now())
+	})
+}
+
+// ended freezes a front that was told to end, once nothing is open on it.
+func (f *Front) ended(now int64) {
+	open := len(f.queue) > 0 || len(f.starving) > 0
+	for _, l := range f.listeners {
+		open = open || l.waiting
+	}
+	f.every(func(slot uint32, c *conn) {
+		new := f.book.Stage(places.ID(slot)) == places.Silent && now-c.edge < endingWait.Microseconds()
+		open = open || new || c.mode != reading || c.rd != nil
 	})
+	if !open {
+		done := f.ending
+		f.frozen, f.ending = true, nil
+		done()
+	}
 }
 
 // Close ends the front, with all its connections; it returns once Run has.
@@ -492,6 +542,11 @@
 			f.serveReady()
 			f.acceptAll()
 		}
+		if f.ending != nil {
+			if f.ended(now); f.frozen {
+				continue
+			}
+		}
 		var events []syscall.EpollEvent
 		var err error
 		if busy || more || len(f.queue) > 0 || f.knocking() {
@@ -531,6 +586,9 @@
 	if f.retry != 0 && (!have || f.retry < at) {
 		at, have = f.retry, true
 	}
+	if t := f.now() + tick.Microseconds(); f.ending != nil && (!have || t < at) {
+		at, have = t, true
+	}
 	if !have {
 		return time.Time{}
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -468,3 +468,74 @@
 		t.Errorf("%d taken, %d answered, %d refused", len(e.taken), ok, refused)
 	}
 }
+
+// held keeps the front's goroutine between two turns while the test does something.
+func held(f *Front, then func()) {
+	at, on := make(chan struct{}), make(chan struct{})
+	f.do(func() { close(at); <-on })
+	<-at
+	then()
+	close(on)
+}
+
+// Who lies in a listener's queue as it is closed is let in, and answered.
+func TestQueueAsListenersClose(t *testing.T) {
+	f, _ := start(t, Options{}, places.Default(64, 256))
+	var c net.Conn
+	seen := make(chan struct{})
+	f.do(func() { // between two looks at the queue
+		defer close(seen)
+		c = dial(t, f.Addr().String())
+		io.WriteString(c, say("SAY", "x"))
+		f.closeListeners()
+	})
+	<-seen
+	if s, err := bufio.NewReader(c).ReadString('\n'); s != "+OK\r\n" {
+		t.Errorf("%q, %v", s, err)
+	}
+}
+
+// A front that ends says so once nothing that it has read is without its answer, in
+// whatever order the end and the request come, and reads nothing after that.
+func TestEndAndRequests(t *testing.T) {
+	for _, first := range []string{"request", "end"} {
+		f, e := start(t, Options{}, places.Default(64, 256))
+		tickets := make(chan Ticket, 1)
+		e.later = func(k *Ticket, arg string) bool { tickets <- *k; return true }
+		c, idle := dial(t, f.Addr().String()), dial(t, f.Addr().String())
+		in := bufio.NewReader(c)
+		for _, x := range []net.Conn{c, idle} {
+			io.WriteString(x, say("PING"))
+		}
+		line(t, in)
+		if s, _ := bufio.NewReader(idle).ReadString('\n'); s != "+PONG\r\n" {
+			t.Fatal(s)
+		}
+		done := make(chan struct{})
+		end := func() { f.End(func() { close(done) }) }
+		held(f, func() {
+			if first == "end" {
+				end()
+			}
+			io.WriteString(c, say("SAY", "x"))
+			if first == "request" {
+				end()
+			}
+		})
+		ticket := <-tickets // read: from here on it is owed an answer
+		f.Look(func(*places.Book) {})
+		select {
+		case <-done:
+			t.Fatalf("%s first: at its end with a request that it has read", first)
+		default:
+		}
+		f.Answer(ticket, "+OK\r\n")
+		if s := line(t, in); s != "+OK" {
+			t.Errorf("%s first: %q", first, s)
+		}
+		<-done
+		if _, err := in.ReadByte(); err != io.EOF {
+			t.Errorf("%s first: stays open: %v", first, err)
+		}
+	}
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -333,6 +333,7 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	listening, told := true, false
+	var quiet chan struct{} // closed once nothing that clients sent is without its answer; nil until they are let go for good
 	for {
 		wait := time.Hour
 		if at := r.core.Next(); at > 0 {
@@ -367,20 +368,65 @@
 		}
 		if !told && !r.core.KeepsClients(r.now()) {
 			told = true
+			cross(seamLetGo)
 			r.duty.stop()
 		}
 		if listening && gone >= core.StopListen {
 			listening = false
+			cross(seamUnlisten)
 			cl.front.CloseListeners()
 		}
-		idle := r.core.Waiting() == 0 && r.core.Calls() == 0 && (r.core.Held() == 0 || gone >= core.StopSends)
-		if told && !listening && idle || gone >= core.StopCalls {
+		if told && !listening && quiet == nil {
+			// The front reads on until it has nothing open: a request that it had read
+			// as this process ended would have no answer.
+			done := make(chan struct{})
+			quiet = done
+			cl.front.End(func() { close(done); r.in.put(happening{}) })
+		}
+		idle := isClosed(quiet) && r.core.Waiting() == 0 && r.core.Calls() == 0 && (r.core.Held() == 0 || gone >= core.StopSends)
+		if !idle && gone >= core.StopCalls && !isClosed(quiet) { // half a command, maybe
+			done := make(chan struct{})
+			cl.front.Freeze(func() { close(done) })
+			r.pump(func() bool { return isClosed(done) && r.core.Waiting() == 0 }, stopQuiet)
+		}
+		if idle || gone >= core.StopCalls {
+			cross(seamEnd)
 			r.log.Info(story.Stopped, "held", r.core.Held(), "calls", r.core.Calls())
 			return nil
 		}
 	}
 }
 
+// stopQuiet is how long requests that were read have for their answers, once a
+// process is out of time.
+const stopQuiet = 200 * time.Millisecond
+
+// isClosed reports whether a channel is closed on which nothing is sent.
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Points between two steps at which something else may happen.
+const (
+	seamLetGo    = "clients are let go"
+	seamUnlisten = "nobody new is let in"
+	seamEnd      = "the process ends"
+)
+
+// seam is called at such a point. Tests alone set it, before a relay runs.
+var seam func(point string)
+
+func cross(point string) {
+	if seam != nil {
+		seam(point)
+	}
+}
+
 // turn hands over what has happened so far.
 func (r *Relay) turn() {
 	r.got = r.in.takeAll(r.got)
