An attempt that never left uses up none; connections close well before their endpoints do

Need: a message has so many attempts, and each that was put off while a list or a hand-over was waited for, that a wait or a drain stopped at the gate, or that found no connection's place counted as one, though nobody was asked: after a start or at a site that gives three attempts it ended untried. A connection was kept idle up to a tenth short of its endpoint's time: 50 ms of half a second, less than the two ways that both clocks do not see. Ruled out: NotSent that an endpoint answered (503 with slots, 504) counts as before; what lasts is bounded, as often as a message has attempts. Lines at fault: decide's spent, core's record of outcomes, the pool's margin. Change: such an outcome is void, in the policy and in the log; the margin is a tenth, and 250 ms or a third of a short time.

--- a/decide/api.go
+++ b/decide/api.go
@@ -220,6 +220,7 @@
 	Outcome  Outcome
 	Settled  bool // EvOutcome: nothing more is owed for the message
 	Slots    bool // EvOutcome, NotSent: all slots were taken
+	Void     bool // EvOutcome, NotSent: it never left the relay, and uses up no attempt
 	Opened   int  // EvOutcome: connections that were opened for it
 	Attempt  int
 	Class    int
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -429,7 +429,7 @@
 
 // spent: no further attempt of this message is allowed, ever.
 func (p *Policy) spent(m *message) bool {
-	if m.tries >= 255 || p.set.MaxAttempts > 0 && m.tries >= p.set.MaxAttempts {
+	if m.tries >= 255 || p.set.MaxAttempts > 0 && m.tries-m.void >= p.set.MaxAttempts {
 		return true
 	}
 	if m.doubtAt == 0 || m.class.Repeat == Safe {
@@ -495,7 +495,11 @@
 	if !e.Outcome.NeverRan() && e.Outcome != Delivered && m.doubtAt == 0 {
 		p.doubt(m, c.sent, c.ep.zone)
 	}
-	m.failedAt = c.ep
+	if e.Void && m.void < p.set.MaxAttempts { // bounded: what keeps it from leaving may last
+		m.void++
+	} else {
+		m.failedAt = c.ep
+	}
 	switch {
 	case m.over:
 		p.forget(m)
--- a/decide/resume_test.go
+++ b/decide/resume_test.go
@@ -60,3 +60,39 @@
 		})
 	}
 }
+
+// An attempt that never left the relay uses up none, as often as a message has
+// attempts; where what keeps it from leaving lasts, it does.
+func TestNeverLeft(t *testing.T) {
+	for _, x := range []struct{ void, want int }{{0, 3}, {1, 4}, {3, 6}, {100, 6}} {
+		s := one()
+		s.MaxAttempts = 3
+		p, err := New(s, 5)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := 100 * second
+		events := []Event{{Kind: EvList, List: ListFull, Entries: []Entry{{Endpoint: 7, Dest: 1, State: Ready, Rate: 1000}}},
+			{Kind: EvMessage, Message: 1, Dest: 1, Left: 20 * second}}
+		sends, why := 0, Reason(0)
+		for ; why == 0 && now < 130*second; now += 5e3 {
+			acts := p.Step(now, events, nil)
+			events = nil
+			for _, a := range acts {
+				switch a.Kind {
+				case ActSend:
+					e := Event{Kind: EvOutcome, Message: 1, Attempt: sends, Endpoint: 7, Outcome: Full}
+					if sends++; sends <= x.void {
+						e.Outcome, e.Void = NotSent, true
+					}
+					events = append(events, e)
+				case ActRefuse, ActFail:
+					why = a.Why
+				}
+			}
+		}
+		if sends != x.want || why != NoAttempts {
+			t.Errorf("%d never left: %d attempts, ended for %v", x.void, sends, why)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -114,6 +114,7 @@
 	over     bool
 	place    int // in Policy.live
 	tries    int
+	void     int       // of them, never left the relay
 	doubtAt  Time      // send of the first attempt that may have run; 0 for none
 	doubtIn  int       // its zone
 	failedAt *endpoint // where its last attempt failed
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -95,6 +95,9 @@
 	Err     error
 }
 
+// never reports whether an attempt never left the relay: nobody was asked.
+func (o *Result) never() bool { return o.What == decide.NotSent && o.Status == 0 }
+
 // EventKind is what happened.
 type EventKind uint8
 
@@ -896,7 +899,7 @@
 		r.stirred++
 	}
 	e := decide.Event{Kind: decide.EvOutcome, Message: m.num, Attempt: c.attempt, Outcome: o.What, Wait: o.Wait,
-		Slots: o.Slots, Opened: o.Opened, Settled: o.Settled || m.over, Took: o.Took, Load: o.Load}
+		Slots: o.Slots, Void: o.never(), Opened: o.Opened, Settled: o.Settled || m.over, Took: o.Took, Load: o.Load}
 	if c.ep != nil {
 		e.Endpoint = c.ep.num
 		if o.Wait > 0 && o.What != decide.NotSent { // that one is of our own making
@@ -930,7 +933,7 @@
 	case o.Settled:
 		r.log(&Record{Kind: End, ID: m.rec.ID})
 	case logged:
-		r.log(&Record{Kind: Outcome, ID: m.rec.ID, Ran: !o.What.NeverRan()})
+		r.log(&Record{Kind: Outcome, ID: m.rec.ID, Ran: !o.What.NeverRan(), Void: o.never()})
 	}
 	if o.Settled && !m.over {
 		if o.What == decide.Delivered {
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -24,6 +24,7 @@
 	At       int64      `json:"at,omitempty"`     // attempt: when it goes out
 	Zone     int        `json:"zone,omitempty"`   // attempt: of its endpoint
 	Ran      bool       `json:"ran,omitempty"`    // outcome: it may have run
+	Void     bool       `json:"void,omitempty"`   // outcome: it never left, and uses up no attempt
 	Notice   string     `json:"notice,omitempty"` // ending: the word for it
 	RetryMS  int64      `json:"retry_ms,omitempty"`
 	// The state of a message, as earlier records left it.
@@ -46,6 +47,9 @@
 		if r.Ran && t.Doubt == 0 {
 			t.Doubt, t.DoubtIn = t.Out, t.OutIn
 		}
+		if r.Void {
+			t.Tries = max(t.Tries-1, 0)
+		}
 		t.Out, t.OutIn = 0, 0
 	case Ending:
 		t.Notice, t.RetryMS = r.Notice, r.RetryMS
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -29,7 +29,6 @@
 	connsMost   = 4                      // connections on which one call is begun
 	hintsMost   = 8                      // 1xx answers ahead of the last
 	probeWait   = 2 * time.Second        // a probe that takes longer has failed
-	idleMargin  = 10                     // one part in so many of the keep-alive is left unused
 	longestWait = 10 * time.Minute
 	loadMost    = 1e6 // no figure of a load report is higher
 )
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -109,7 +109,7 @@
 	keep := time.Duration(cfg.Policy.KeepAlive) * time.Microsecond
 	// A request written to a connection that the endpoint is closing ends as a
 	// reset: ours close first.
-	r.pool = newPool(time.Duration(cfg.Policy.ConnectTimeout)*time.Microsecond, keep-keep/idleMargin, conns)
+	r.pool = newPool(time.Duration(cfg.Policy.ConnectTimeout)*time.Microsecond, keep-idleMargin(keep), conns)
 	r.pool.now = r.now
 	go r.pool.run(ctx)
 	r.notices = newNotices(cfg.Discovery, log, func(id string) {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -50,6 +50,14 @@
 	scopes map[scope]*gate.Scope // the loop's
 }
 
+// idleMargin is how much of an endpoint's keep-alive is left unused. The endpoint
+// counts from when it wrote its answer, and ours from when that was booked; then
+// the next call has its way as well: both ways and a late turn of a core of which a
+// part is ours, whatever the keep-alive is, and a tenth of a long one.
+func idleMargin(keep time.Duration) time.Duration {
+	return max(keep/10, min(keep/3, 250*time.Millisecond))
+}
+
 // scope is what one wait binds: a destination, or an endpoint where they are
 // routes apart.
 type scope struct {
