What a restart finds untried is tried before what is handed in now

Ruled out: too little time (a quarter had 7 s and more), missing endpoints (none), the wait for a list; 60 to 80 calls a second went out in that time. Lines at fault: decide's order, by which what is new always loses more by waiting, and shed, which makes room with what is late. Change: such a message goes first, the nearest end first, and is not made room with, until an attempt of it has left; after that it is like any other. What can no longer be answered in time keeps its place.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,6 +34,7 @@
 	budgetPart  = 1.0  // part of the fail-back budget that is used
 	sharerPart  = 2.0  // relays thought to want a trial, to the messages that an outage has kept waiting
 	unsafeWait  = 4    // times as long a call of unsafe messages is waited for under slot pressure
+	owedLoss    = 1e12 // over the time that is left, in µs: more than any message is worth
 	heldReserve = 16   // one part in so many of the room is kept free
 	noConnTight = 0.05 // share of calls without a connection above which connections are taken to run out
 	tightSpan   = 20   // calls over which that share is told
@@ -223,7 +224,7 @@
 	}
 	c := &p.set.Classes[e.Class]
 	m := &message{id: e.Message, key: e.Key, class: c, dest: p.dest(e.Dest), worth: c.Worth}
-	m.deadline = p.now + max(e.Left, 0)
+	m.deadline, m.owed = p.now+max(e.Left, 0), e.Resumed && e.Tries == 0
 	m.aimAt = m.deadline - c.Deadline + c.Aim
 	if p.set.WorthByWork && e.Work > 0 {
 		m.worth *= float64(e.Work)
@@ -308,7 +309,7 @@
 		low := math.Inf(1)
 		p.passes++
 		for _, m := range p.live {
-			if p.refusable(m) {
+			if p.refusable(m) && !m.owed {
 				d := m.dest
 				if d.pass != p.passes { // the same for all that wait there
 					at := p.opens(d)
@@ -500,6 +501,7 @@
 	} else {
 		m.failedAt = c.ep
 	}
+	m.owed = m.owed && e.Void
 	switch {
 	case m.over:
 		p.forget(m)
@@ -978,6 +980,9 @@
 	then := soon + p.drain(d)
 	for _, m := range d.queue {
 		m.loss = p.value(m, soon) - p.value(m, then)
+		if m.owed && m.deadline > soon { // taken on to be tried: above all losses, the nearest end first
+			m.loss += owedLoss / float64(m.deadline-p.now)
+		}
 	}
 	slices.SortStableFunc(d.queue, func(a, b *message) int {
 		return cmp.Or(cmp.Compare(b.loss, a.loss), cmp.Compare(a.aimAt, b.aimAt))
--- a/decide/resume_test.go
+++ b/decide/resume_test.go
@@ -96,3 +96,65 @@
 		}
 	}
 }
+
+// What an earlier process took on and never tried goes before what is handed in
+// now, whatever that is worth, the nearest end first, and makes no room for it; once
+// tried it is like any other. Without that a relay under load gave more than half of
+// it back with no call, since what is new always loses more by waiting.
+func TestUntriedGoFirst(t *testing.T) {
+	s := one()
+	s.MaxHeld, s.Slots, s.MaxAttempts = 32, 2, 100
+	s.Classes = append(s.Classes, Class{Name: "dear", Aim: 2 * second, Deadline: 20 * second, Worth: 50, LateWorth: 0.3})
+	p, err := New(s, 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := 100 * second
+	events := []Event{{Kind: EvList, List: ListFull, Entries: []Entry{{Endpoint: 7, Dest: 1, State: Ready, Rate: 20}}}}
+	const owed, tried = 24, 4
+	for i := range uint32(owed) { // the last ones end first
+		events = append(events, Event{Kind: EvMessage, Message: 1 + i, Dest: 1, Left: 8*second - Time(i)*50e3, Resumed: true})
+	}
+	for i := range uint32(tried) {
+		events = append(events, Event{Kind: EvMessage, Message: 50 + i, Dest: 1, Left: 9 * second, Resumed: true, Tries: 1})
+	}
+	first, again, order := map[uint32]bool{}, 0, []uint32{}
+	attempts := map[uint32]int{50: 1, 51: 1, 52: 1, 53: 1}
+	for next := uint32(100); now < 108*second; now += 5e3 {
+		if now%100e3 == 0 { // more than goes out, and dearer
+			events = append(events, Event{Kind: EvMessage, Message: next, Class: 1, Dest: 1, Left: 20 * second})
+			next++
+		}
+		acts := p.Step(now, events, nil)
+		events = nil
+		for _, a := range acts {
+			switch a.Kind {
+			case ActSend:
+				if a.Message <= owed && !first[a.Message] {
+					order = append(order, a.Message)
+				} else if len(first) < owed && a.Message <= owed {
+					again++ // before others had their first
+				}
+				first[a.Message] = true
+				events = append(events, Event{Kind: EvOutcome, Message: a.Message, Attempt: attempts[a.Message], Endpoint: 7, Outcome: Errored, Took: 50e3})
+				if a.Message > owed {
+					events[len(events)-1] = Event{Kind: EvOutcome, Message: a.Message, Attempt: attempts[a.Message], Endpoint: 7, Outcome: Delivered, Settled: true, Took: 50e3}
+				}
+				attempts[a.Message]++
+			case ActRefuse, ActFail:
+				if a.Message <= owed && !first[a.Message] {
+					t.Errorf("%d is ended untried at %d ms, for %v", a.Message, (now-100*second)/1000, a.Why)
+				}
+			}
+		}
+	}
+	if len(order) != owed || again > 2 {
+		t.Errorf("%d of %d tried; %d second tries before others' first", len(order), owed, again)
+	}
+	for i := 1; i < len(order); i++ {
+		if order[i] > order[i-1] {
+			t.Errorf("%v: not the nearest end first", order)
+			break
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -112,7 +112,8 @@
 	worth    float64
 	loss     float64 // by waiting, when its destination was last looked at
 	over     bool
-	place    int // in Policy.live
+	owed     bool // an earlier process took it on and never tried it; until it has been tried
+	place    int  // in Policy.live
 	tries    int
 	void     int       // of them, never left the relay
 	doubtAt  Time      // send of the first attempt that may have run; 0 for none
