--- a/internal/relay/crossings_test.go
+++ b/internal/relay/crossings_test.go
@@ -392,3 +392,20 @@
 	}
 	return n, err
 }
+
+// A connection is not taken when its endpoint, which counts from when it wrote its
+// answer and closes by its own clock, may close it before the next call is there:
+// two ways of 60 ms and a late turn, also where it keeps connections for a second.
+func TestIdleConnectionsCloseFirst(t *testing.T) {
+	for _, keep := range []time.Duration{600 * time.Millisecond, time.Second, 2 * time.Second, 10 * time.Second} {
+		p := newPool(time.Second, keep-idleMargin(keep), 4)
+		now := time.Now()
+		c := &poolConn{at: now}
+		if !p.stale(c, now.Add(keep-200*time.Millisecond)) {
+			t.Errorf("%v: taken 200 ms before its endpoint closes it", keep)
+		}
+		if p.stale(c, now.Add(keep/2)) {
+			t.Errorf("%v: not taken after half of its time", keep)
+		}
+	}
+}
