What became of a call is told once its connection is closed

Seen by reading, then forced on sockets: a call that timed out, was called off or had an answer that never ends was told to the loop first, and its connection closed after that. In between the loop may log the next attempt and write it, and an endpoint counts a second copy for as long as the first one's connection is open. Ruled out: a 200, which is told at its first line and ends the message; answers read to their end; calls whose last byte was not out, whose connection is dropped before they are told. Lines at fault: endpoints.go, answer (tell before drop). Change: what is not a whole answer has its connection closed first.

--- a/internal/relay/crossings_test.go
+++ b/internal/relay/crossings_test.go
@@ -409,3 +409,63 @@
 		}
 	}
 }
+
+// What became of a call is told once its connection is over, since the message may
+// go out again in that very moment, and an endpoint counts a second copy for as long
+// as the first one's connection is open: a call that timed out or was called off, an
+// answer that never ends, one that cannot be read.
+func TestToldOnceTheConnectionIsOver(t *testing.T) { overEach(t, testToldOnceTheConnectionIsOver) }
+
+func testToldOnceTheConnectionIsOver(t *testing.T, w *way) {
+	const head = "HTTP/1.1 500 E\r\nContent-Length: 60000\r\n\r\n"
+	for _, x := range []struct {
+		name   string
+		says   string
+		more   string // again and again
+		limit  time.Duration
+		cancel bool
+		want   decide.Outcome
+	}{
+		{"timed out", "", "", 50 * time.Millisecond, false, decide.TimedOut},
+		{"called off", "", "", testLimit, true, decide.Cancelled},
+		{"stops in the middle", head, "", testLimit, false, decide.Errored},
+		{"never ends", "HTTP/1.1 500 E\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", testLimit, false, decide.Errored},
+		{"nonsense", "what is this?\r\n", "", testLimit, false, decide.Errored},
+		{"a wait that cannot be read", "HTTP/1.1 429 W\r\nRetry-After: soon\r\nContent-Length: 0\r\n\r\n", "", testLimit, false, decide.Errored},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			came, over := make(chan struct{}), make(chan struct{})
+			h := w.home(testPool(t), w.endpoint(t, func(c net.Conn) {
+				defer close(over)
+				in := bufio.NewReader(c)
+				if !readCall(in) {
+					return
+				}
+				close(came)
+				io.WriteString(c, x.says)
+				for x.more != "" {
+					if _, err := io.WriteString(c, x.more); err != nil {
+						return
+					}
+				}
+				io.Copy(io.Discard, in) // until it ends
+			}))
+			c := newTestCall()
+			if x.cancel {
+				go func() { <-came; c.stop(errCancelled) }()
+			}
+			told := make(chan outcome, 1)
+			c.run(h, &record{ID: "m", Key: "k"}, x.limit, nil, func(o outcome) {
+				select {
+				case <-over:
+				case <-time.After(2 * time.Second):
+					t.Error("told while its connection was open")
+				}
+				told <- o
+			})
+			if o := <-told; o.what != x.want {
+				t.Errorf("outcome %d, want %d: %v", o.what, x.want, o.err)
+			}
+		})
+	}
+}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -141,7 +141,7 @@
 		conn.drop()
 		return
 	}
-	told := false
+	told, dropped := false, false
 	keep := readAnswer(conn, req, loads, func(o outcome) {
 		told, o.opened = true, c.want.opened
 		o.took = time.Since(began).Microseconds()
@@ -151,15 +151,23 @@
 		if conn.tls != nil && o.err != nil { // its word that it does not accept us may come late: the next call is spared
 			conn.tls.Peer().Refused(o.err)
 		}
+		if o.what != decide.Delivered && (o.err != nil || o.spoilt) {
+			// What is told now may go out again at once, and the endpoint counts two
+			// copies for as long as this connection is open.
+			conn.drop()
+			dropped = true
+		}
 		// Nobody waits for the call any more; what is left of its answer has
 		// its own bound.
 		tell(o)
 	})
-	if !unwatch() || !told || !keep {
+	switch over := !unwatch(); {
+	case dropped:
+	case over || !told || !keep:
 		conn.drop()
-		return
+	default:
+		conn.put()
 	}
-	conn.put()
 }
 
 var longAgo = time.Unix(1, 0)
