Connections have no small writes held back from the first moment on

Seen by reading: the options that connections inherit were set after their listener had begun to listen. One that came up in between kept small answers back while an earlier one was not confirmed, and a close over unread bytes takes those with it. Lines at fault: front.go, bind and listen (options set in adoptListener alone). Change: they are set before anybody can come, in both ways to listen. Measured: TestOptionsAreSetBeforeAnyoneComes, which fails without either (the address that is taken: seen; the other has no function to ask).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -275,9 +275,24 @@
 	return err == nil && a.String() == ln.Addr().String()
 }
 
+// inherited sets the options that connections take over from their listener. They
+// do so as they come up, which they can from the moment on in which it listens.
+func inherited(fd int) error {
+	return os.NewSyscallError("setsockopt", errors.Join(
+		syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1),
+		syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, 1)))
+}
+
+// listenConfig is for a listener that has them before it listens.
+func listenConfig() net.ListenConfig {
+	return net.ListenConfig{KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) (err error) {
+		return errors.Join(c.Control(func(fd uintptr) { err = inherited(int(fd)) }), err)
+	}}
+}
+
 // listen opens one listener. Accepted connections inherit its options.
 func (f *Front) listen(slot int32, addr string) error {
-	lc := net.ListenConfig{KeepAlive: -1}
+	lc := listenConfig()
 	ln, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -312,6 +327,9 @@
 	if at.IP == nil && err == nil && family == syscall.AF_INET6 {
 		syscall.SetsockoptInt(fd, syscall.IPPROTO_IPV6, syscall.IPV6_V6ONLY, 0)
 	}
+	if err == nil {
+		err = inherited(fd)
+	}
 	if err == nil {
 		err = os.NewSyscallError("bind", syscall.Bind(fd, sa))
 	}
@@ -370,8 +388,7 @@
 		err2 := raw.Control(func(fd uintptr) {
 			l.fd = int(fd)
 			err = errors.Join(
-				syscall.SetsockoptInt(l.fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1),
-				syscall.SetsockoptInt(l.fd, syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, 1),
+				inherited(l.fd), // of one that was handed over: its process may have set none
 				f.poll.add(l.fd, slot, evIn|evEdge),
 				(&poller{fd: l.queue}).add(l.fd, slot, evIn))
 		})
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -539,3 +539,38 @@
 		}
 	}
 }
+
+// What connections inherit is set before their listener listens: one that comes up
+// in between would have small answers held back, and lose them with a close.
+func TestOptionsAreSetBeforeAnyoneComes(t *testing.T) {
+	noDelay := func(fd int) int {
+		v, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	f, err := New(Options{Shut: true, Limits: places.Default(100, 300), Memory: 1 << 20, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.unbind()
+	if len(f.shut) != 1 || noDelay(f.shut[0].fd) != 1 {
+		t.Error("an address that is taken: not set")
+	}
+	lc := listenConfig()
+	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) {
+		if noDelay(int(fd)) != 1 {
+			t.Error("a listener: not set")
+		}
+	})
+}
