Calls that cannot rest are over before another process has the work

Seen by reading: at an upgrade a call over TLS that did not end within 0.6 s went on in the old process, while the new one was told nothing of it and may send a keyed message again at once: two copies out. Lines at fault: handover.go, still (gave up waiting and went on). Change: what does not rest by then is called off and waited for; where that does not help, the work is not handed over. Measured: TestCallsThatCannotRestAreOverFirst fails without it (seen).

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -56,6 +56,16 @@
 	return still
 }
 
+// cut calls off those that have not come to rest: what another process takes over
+// may go out there at once, while their connections would be open here.
+func (o *outgoing) cut() {
+	o.each(func(_ *core.Call, c *call) {
+		if c.parkedConn() == nil {
+			c.stop(errCancelled)
+		}
+	})
+}
+
 // unpark has the parked calls go on here, or leaves them to the other process.
 func (o *outgoing) unpark(here bool) { o.each(func(_ *core.Call, c *call) { c.unpark(here) }) }
 
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -35,6 +35,7 @@
 	claimWait  = 5500 * time.Millisecond
 	quietWait  = time.Second            // for requests to be answered
 	parkWait   = 600 * time.Millisecond // for calls whose answer has begun
+	cutWait    = 200 * time.Millisecond // for what is called off then
 	sendWait   = time.Second
 	mineWait   = 700 * time.Millisecond
 	servesWait = 10 * time.Second
@@ -490,9 +491,15 @@
 	r.core.Cede()
 	r.barrier() // what was logged by now is out
 	r.out.park()
-	// One whose answer goes on may have run, for all that the other process
-	// can know.
-	r.pump(r.out.still, parkWait)
+	// One over TLS, whose keys are in this process alone, or whose answer goes on
+	// has that time. Then it is called off and may have run, and its connection is
+	// over before the other process is told of its message.
+	if !r.pump(r.out.still, parkWait) {
+		r.out.cut()
+		if !r.pump(r.out.still, cutWait) {
+			return errors.New("calls do not come to rest")
+		}
+	}
 	r.notices.pause()
 	r.turn()
 	r.barrier()
--- a/internal/relay/tls_relay_test.go
+++ b/internal/relay/tls_relay_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"troutusher/internal/devca"
 )
@@ -130,6 +131,42 @@
 	}
 }
 
+// A call that cannot rest, over TLS, is over before the other process has the work:
+// that one may send its message again at once, and two copies would be out.
+func TestCallsThatCannotRestAreOverFirst(t *testing.T) {
+	s := newTLSSite(t, nil)
+	entered, over := make(chan struct{}, 8), make(chan struct{})
+	ep := newTLSEndpoint(t, func() *devca.Made { return s.own }, func(_ http.ResponseWriter, r *http.Request, n int) {
+		if n == 1 {
+			entered <- struct{}{}
+			<-r.Context().Done()
+			close(over)
+		}
+	})
+	d := newFakeDiscovery(t, ep.member("e", 1))
+	env := testConfig(t, d, 3)
+	env["ROUTER_CONSOLE"] = freeAddr(t)
+	operatorFile(t, s, env, "")
+	startChild(t, env)
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	if got := cl.put("a", fields("keyed", 15000, 1), []byte("b")); got != "+OK" {
+		t.Fatal(got)
+	}
+	<-entered
+	k := newTaker(t, env["ROUTER_STATE"])
+	k.receive(1000)
+	select {
+	case <-over:
+	case <-time.After(2 * time.Second):
+		t.Error("its call is out while the other process has the work")
+	}
+	if len(k.state.Core.Calls) != 0 {
+		t.Errorf("calls that go on: %+v", k.state.Core.Calls)
+	}
+	k.die() // and the old one, which serves on, sends it once more
+	waitFor(t, "the next attempt", func() bool { return ep.count("a") == 2 })
+}
+
 // Guards the start: files that cannot be used end it, with the rule's name.
 func TestRelayWithBadKeys(t *testing.T) {
 	s := newTLSSite(t, nil)
