--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -38,8 +38,11 @@
 	log     *book   // where one is kept
 	driver  *driver // where calls go out in pieces
 	flavors []string
-	long    int // one step in so many takes 11 to 31 s; 0 for none
-	rested  int // destinations that were put away
+	long    int             // one step in so many takes 11 to 31 s; 0 for none
+	rested  int             // destinations that were put away
+	spent   map[string]bool // unsafe messages that may have run, where that is watched
+	ceded   bool            // nothing may be begun
+	telling func(*Event)    // where more is to be noted of what the core is told
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -88,6 +91,8 @@
 			c := e.Call
 			fmt.Fprintf(&w.trace, " %s to %d", c.Rec.ID, c.Endpoint)
 			switch {
+			case w.ceded:
+				w.failf("%s is sent while the work is handed over", c.Rec.ID)
 			case !w.heard[c.Rec.ID]:
 				w.failf("%s is sent before its client heard", c.Rec.ID)
 			case w.out[c.Rec.ID] > 0:
@@ -98,6 +103,8 @@
 				w.failf("%s for %d is sent to %d", c.Rec.ID, c.Rec.Dest, w.cell[c.Endpoint])
 			case e.Record.ID != c.Rec.ID || e.Record.Kind != Attempt || c.Limit <= 0:
 				w.failf("%s: logged as %+v", c.Rec.ID, e.Record)
+			case w.spent[c.Rec.ID]:
+				w.failf("%s may have run and is sent again", c.Rec.ID)
 			case w.ended[c.Rec.ID] > 0:
 				w.failf("%s is sent after its end", c.Rec.ID)
 			}
@@ -192,7 +199,9 @@
 			k := w.rng.IntN(len(w.queue))
 			e := w.queue[k]
 			w.queue = slices.Delete(w.queue, k, k+1)
-			if e.Call != nil {
+			if w.telling != nil {
+				w.telling(&e)
+			} else if e.Call != nil {
 				w.out[e.Call.Rec.ID]--
 				delete(w.open, e.Call)
 			}
