A list, SIGHUP or a death that crosses a hand-over is not lost with it

Seen by reading, then forced at each step of either side (a seam of 19 points; KILL, SIGTERM, SIGHUP with a new configuration): - Who takes over booked the list that it had heard before the hand-over behind what it was given: an endpoint that had drained since was up again until its own watch brought that once more. - A SIGHUP to the process that serves was lost with it where the other had read its configuration before; one that came before the hand-over, too, since the new process goes by its environment first; and a process that starts anew from the log went back to its first configuration. - A process that dies lets go of its lock before its address. Ruled out: the two machines of takeover, which say the right thing at each of these points. Lines at fault: loop.go, Run (book(list()) after Restore; newClients tried once); reload.go and main.go (the first configuration again). Change: the state carries the revision and the address that it is from, and whether the configuration was read again; what is told later is passed on as SIGHUP; older lists are left out and had once more; the address is waited for, 1 s at most.

--- a/cmd/troutusher/main.go
+++ b/cmd/troutusher/main.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math"
 	"os"
@@ -42,9 +41,6 @@
 	defer cancel()
 	re := relay.Reload{Asked: hup, Read: func() (*relay.Config, error) { return relay.ReloadConfig(os.Getenv) }}
 	err = relay.Run(cfg, log, ctx.Done(), re)
-	for errors.Is(err, relay.ErrStartAnew) {
-		err = relay.Run(cfg, log, ctx.Done(), re)
-	}
 	if err != nil {
 		log.Error("ended", "err", err)
 		os.Exit(exitFailed)
--- a/internal/core/carry.go
+++ b/internal/core/carry.go
@@ -15,12 +15,13 @@
 // Carried is what a core knows beside its log. Moments are those of the
 // exporting core's clock.
 type Carried struct {
-	Members []CarriedMember `json:"members"`
-	Named   []int           `json:"named"`
-	Waits   []CarriedWait   `json:"waits,omitempty"`
-	Calls   []CarriedCall   `json:"calls"`
-	Worth   []CarriedWorth  `json:"worth"`
-	Policy  *decide.Memory  `json:"policy"`
+	Revision int64           `json:"revision,omitempty"` // of the list that it goes by
+	Members  []CarriedMember `json:"members"`
+	Named    []int           `json:"named"`
+	Waits    []CarriedWait   `json:"waits,omitempty"`
+	Calls    []CarriedCall   `json:"calls"`
+	Worth    []CarriedWorth  `json:"worth"`
+	Policy   *decide.Memory  `json:"policy"`
 }
 
 // CarriedMember is an endpoint that the list holds, or one that has left and is
@@ -106,7 +107,7 @@
 func (r *Core) Carry(now decide.Time) *Carried {
 	r.now = max(now, r.now)
 	r.bookAll()
-	c := &Carried{Policy: r.policy.Export(r.now), Members: r.carriedMembers(), Waits: r.carriedWaits()}
+	c := &Carried{Revision: r.rev, Policy: r.policy.Export(r.now), Members: r.carriedMembers(), Waits: r.carriedWaits()}
 	members, lanes := r.resting(true)
 	c.Members, c.Policy.Lanes = append(c.Members, members...), append(c.Policy.Lanes, lanes...)
 	for dest := range r.named {
@@ -163,7 +164,7 @@
 	for _, w := range c.Waits {
 		r.waits[w.Dest] = max(r.waits[w.Dest], w.Until+shift)
 	}
-	l := &List{Complete: true}
+	l := &List{Revision: c.Revision, Complete: true}
 	for i := range c.Members {
 		l.Members = append(l.Members, c.Members[i].Member)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -327,6 +327,9 @@
 // Held is how many messages are held.
 func (r *Core) Held() int { return r.held }
 
+// Revision is that of the list that was heard last.
+func (r *Core) Revision() int64 { return r.rev }
+
 // Calls is how many calls are out.
 func (r *Core) Calls() int { return r.calls }
 
--- a/internal/rehearse/stage/stage_test.go
+++ b/internal/rehearse/stage/stage_test.go
@@ -56,9 +56,6 @@
 	defer cancel()
 	re := daemon.Reload{Asked: hup, Read: func() (*daemon.Config, error) { return daemon.ReloadConfig(os.Getenv) }}
 	err = daemon.Run(cfg, log, ctx.Done(), re)
-	for errors.Is(err, daemon.ErrStartAnew) {
-		err = daemon.Run(cfg, log, ctx.Done(), re)
-	}
 	if err != nil {
 		log.Error("relay", "err", err)
 		return 1
--- a/internal/relay/crossings_test.go
+++ b/internal/relay/crossings_test.go
@@ -95,6 +95,9 @@
 			if c, err := net.Dial("tcp", env["ROUTER_LISTEN"]); err == nil {
 				send("queued", c)
 			}
+		case seamEnd:
+		default:
+			return // of its start
 		}
 		points <- point
 	})
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -31,6 +30,43 @@
 // long a watch may be silent there.
 const firstListEnv = "TROUTUSHER_TEST_FIRST_LIST"
 
+// crossEnv has something happen to a child at a point of the seam: POINT=WHAT. WHAT
+// is KILL, TERM or HUP (the child has that signal, and goes on once it has been
+// heard), HUP:FILE (likewise, with the file in the configuration's place), or
+// WAIT:FILE (it stops until there is such a file, and makes FILE.at as it does).
+const crossEnv = "TROUTUSHER_TEST_CROSS"
+
+func crossAt(text string, term context.Context, read <-chan struct{}) {
+	point, what, _ := strings.Cut(text, "=")
+	what, file, _ := strings.Cut(what, ":")
+	self, once := os.Getpid(), false
+	seam = func(at string) {
+		if at != point || once {
+			return
+		}
+		once = true
+		switch what {
+		case "KILL":
+			syscall.Kill(self, syscall.SIGKILL)
+			select {}
+		case "TERM":
+			syscall.Kill(self, syscall.SIGTERM)
+			<-term.Done()
+		case "HUP":
+			if file != "" {
+				os.Rename(file, os.Getenv("ROUTER_CONFIG"))
+			}
+			syscall.Kill(self, syscall.SIGHUP)
+			<-read
+		case "WAIT":
+			os.WriteFile(file+".at", nil, 0o600)
+			for _, err := os.Stat(file); err != nil; _, err = os.Stat(file) {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+}
+
 func TestMain(m *testing.M) {
 	if os.Getenv(childEnv) == "" {
 		os.Exit(m.Run())
@@ -47,11 +83,16 @@
 	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	re := Reload{Asked: hup, Read: func() (*Config, error) { return ReloadConfig(os.Getenv) }}
-	err = Run(cfg, log, ctx.Done(), re)
-	for errors.Is(err, ErrStartAnew) {
-		err = Run(cfg, log, ctx.Done(), re)
+	read := make(chan struct{}, 16)
+	re := Reload{Asked: hup, Read: func() (*Config, error) {
+		cfg, err := ReloadConfig(os.Getenv)
+		read <- struct{}{}
+		return cfg, err
+	}}
+	if at := os.Getenv(crossEnv); at != "" {
+		crossAt(at, ctx, read)
 	}
+	err = Run(cfg, log, ctx.Done(), re)
 	if err != nil {
 		log.Error("child", "err", err)
 		os.Exit(1)
@@ -207,6 +248,19 @@
 	d.lines[len(d.lines)-1] <- line
 }
 
+// sayToAll sends a line on every watch that has room for it, also of processes that
+// have ended.
+func (d *fakeDiscovery) sayToAll(line string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, w := range d.lines {
+		select {
+		case w <- line:
+		default:
+		}
+	}
+}
+
 // fakeEndpoint answers calls by a function and keeps what came.
 type fakeEndpoint struct {
 	*httptest.Server
@@ -272,12 +326,7 @@
 // testConfig writes a configuration and returns the environment that names it.
 func testConfig(t testing.TB, d *fakeDiscovery, diskMB int, known ...core.Member) map[string]string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // a free port; it is let go at once
-	if err != nil {
-		t.Fatal(err)
-	}
-	listen := ln.Addr().String()
-	ln.Close()
+	listen := freeAddr(t)
 	dir := t.TempDir()
 	state := filepath.Join(dir, "state")
 	if err := os.Mkdir(state, 0o700); err != nil {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -25,9 +25,9 @@
 // over from one. Who owns what, and when, package takeover says; here is what
 // it takes to do so: the lock, the link, and what goes over it.
 
-// ErrStartAnew is what Run returns where another process took the work over and
-// died before it served: all that was owed lies in the log.
-var ErrStartAnew = errors.New("the process that took over is gone: to be started from the log")
+// errStartAnew: another process took the work over and died before it served. All
+// that was owed lies in the log.
+var errStartAnew = errors.New("the process that took over is gone: to be started from the log")
 
 const (
 	lockName   = "relay.lock"
@@ -40,7 +40,10 @@
 	mineWait   = 700 * time.Millisecond
 	servesWait = 10 * time.Second
 	lockPause  = 5 * time.Millisecond
-	lookPause  = 50 * time.Millisecond
+	// addressWait is how long the address of clients may still be another process's
+	// that has let go of the lock.
+	addressWait = time.Second
+	lookPause   = 50 * time.Millisecond
 )
 
 // Kinds of packet.
@@ -71,6 +74,10 @@
 	// Frozen is when, on the same clock, clients were last read; 0 where the
 	// process before does not tell.
 	Frozen int64 `json:"frozen,omitempty"`
+	// Agent is the address of discovery that the list is from; Again is set where
+	// the process before was told to read its configuration again.
+	Agent string `json:"agent,omitempty"`
+	Again bool   `json:"again,omitempty"`
 }
 
 // inheritance is what a process has from the one before.
@@ -188,13 +195,16 @@
 				break
 			}
 			h.link = l
+			cross(seamLinked)
 			do = t.Step(takeover.Linked)
 		case takeover.AskForAll:
 			ready()
+			cross(seamHeard)
 			if err := h.receive(end, func() { t.Step(takeover.Began) }); err != nil {
 				do = gone(err)
 				break
 			}
+			cross(seamWhole)
 			do = t.Step(takeover.Whole)
 		case takeover.Lock:
 			if h.lock == nil {
@@ -203,12 +213,14 @@
 			}
 			r.lock.adopt(h.lock)
 			h.lock = nil
+			cross(seamLocked)
 			do = t.Step(takeover.Locked)
 		case takeover.SayMine:
 			if err := h.link.Send(pktMine, nil, time.Now().Add(sendWait)); err != nil {
 				do = gone(err)
 				break
 			}
+			cross(seamMine)
 			do = t.Step(takeover.MineSaid)
 		case takeover.TakeUp:
 			r.taker = t
@@ -340,6 +352,7 @@
 // taking is another process that is ready to take the work over.
 type taking struct {
 	link *link.Link
+	pid  int
 	done chan struct{}
 }
 
@@ -353,12 +366,13 @@
 		if err != nil {
 			return // closed
 		}
-		if err := r.greeted(l); err != nil {
+		pid, err := r.greeted(l)
+		if err != nil {
 			r.log.Warn("hand-over: not begun", "err", err)
 			l.Close()
 			continue
 		}
-		t := &taking{link: l, done: make(chan struct{})}
+		t := &taking{link: l, pid: pid, done: make(chan struct{})}
 		r.in.put(happening{taking: t})
 		select {
 		case <-t.done:
@@ -368,27 +382,27 @@
 	}
 }
 
-func (r *Relay) greeted(l *link.Link) error {
+func (r *Relay) greeted(l *link.Link) (pid int, err error) {
 	p, err := l.Receive(time.Now().Add(sendWait))
 	if err != nil {
-		return err
+		return 0, err
 	}
 	var hello linkHello
 	if p.Kind != pktHello || json.Unmarshal(p.Body, &hello) != nil {
-		return fmt.Errorf("link: %q came first", p.Kind)
+		return 0, fmt.Errorf("link: %q came first", p.Kind)
 	}
 	text, _ := json.Marshal(linkHello{linkForm, os.Getpid()})
 	if err := l.Send(pktHello, text, time.Now().Add(sendWait)); err != nil {
-		return err
+		return 0, err
 	}
 	if p, err = l.Receive(time.Now().Add(claimWait)); err != nil { // it gets itself ready meanwhile
-		return err
+		return 0, err
 	}
 	if p.Kind != pktTake {
-		return fmt.Errorf("link: %q came in place of a take-over", p.Kind)
+		return 0, fmt.Errorf("link: %q came in place of a take-over", p.Kind)
 	}
 	r.log.Info("hand-over: asked for", "pid", hello.PID)
-	return nil
+	return hello.PID, nil
 }
 
 // give hands the work over. The loop stands still meanwhile. It returns nil
@@ -397,6 +411,7 @@
 func (r *Relay) give(t *taking, cl *clients) error {
 	defer t.end()
 	began := time.Now()
+	cross(seamAsked)
 	var g takeover.Giver
 	if !r.duty.cede() {
 		t.link.Send(pktRefuse, nil, time.Now().Add(sendWait))
@@ -418,14 +433,17 @@
 				do = g.Step(takeover.Broken)
 				break
 			}
+			cross(seamSent)
 			g.Step(takeover.Sent)
 			do = r.hear(t.link, &g, takeover.SaidMine, pktMine, mineWait)
 		case takeover.LetGo:
 			r.log.Info("hand-over: it is the other's", "took_ms", time.Since(began).Milliseconds(), "held", r.core.Held())
+			cross(seamOthers)
 			r.letGo(cl)
 			if err := r.lock.leave(); err != nil {
 				return err
 			}
+			cross(seamLetOver)
 			do = r.hear(t.link, &g, takeover.SaidServes, pktServing, servesWait)
 		case takeover.TryLock:
 			switch {
@@ -441,8 +459,9 @@
 			r.goOnAsBefore(cl)
 			return nil
 		case takeover.StartAnew:
-			return ErrStartAnew // which lets the lock go
+			return errStartAnew // which lets the lock go
 		case takeover.End:
+			r.passOn(t)
 			return errGiven
 		default:
 			return fmt.Errorf("hand-over: nothing to do")
@@ -488,6 +507,7 @@
 	if !r.pump(isQuiet, quietWait) {
 		return errors.New("requests of clients have no answer")
 	}
+	cross(seamQuiet)
 	r.core.Cede()
 	r.barrier() // what was logged by now is out
 	r.out.park()
@@ -553,13 +573,16 @@
 		ids, fds = append(ids, k.Message), append(fds, fd)
 		return false
 	})
-	text, err := json.Marshal(handed{carried, mono() - r.now(), r.frozen})
+	r.told = r.asked.Load()
+	text, err := json.Marshal(handed{carried, mono() - r.now(), r.frozen, r.agent, r.told > 0})
 	if err != nil {
 		return err
 	}
+	cross(seamStill)
 	if err := l.SendParts(pktPart, pktState, text, by); err != nil {
 		return err
 	}
+	cross(seamState)
 	// Both processes have them for a moment: what is left of the descriptors
 	// bounds how many clients go over. The others were idle longest.
 	most := r.cfg.Limits.Sockets - 2*ownSockets - 2*len(fds)
@@ -567,6 +590,7 @@
 	if err := l.Send(pktListen, nil, by, listeners...); err != nil {
 		return err
 	}
+	cross(seamListen)
 	for chunk := range slices.Chunk(conns, link.FDsMost) {
 		text, err := json.Marshal(chunk)
 		if err != nil {
@@ -580,6 +604,7 @@
 			return err
 		}
 	}
+	cross(seamConns)
 	for at := 0; at < len(ids); at += link.FDsMost {
 		end := min(at+link.FDsMost, len(ids))
 		text, err := json.Marshal(ids[at:end])
@@ -590,9 +615,11 @@
 			return err
 		}
 	}
+	cross(seamCalls)
 	if err := l.Send(pktLock, nil, by, int(r.lock.file.Fd())); err != nil {
 		return err
 	}
+	cross(seamLock)
 	r.log.Info("hand-over: sent", "held", r.core.Held(), "calls", len(ids), "clients", len(conns))
 	return l.Send(pktEnd, nil, by)
 }
@@ -617,6 +644,16 @@
 	r.closeLog()
 }
 
+// passOn has the other process read the configuration again, where that was asked
+// of this one after it had told the other of all.
+func (r *Relay) passOn(t *taking) {
+	if r.asked.Load() > r.told || len(r.re.Asked) > 0 {
+		if err := syscall.Kill(t.pid, syscall.SIGHUP); err != nil {
+			r.log.Error("hand-over: the other process is not told to read its configuration again", "err", err)
+		}
+	}
+}
+
 // stopAsked reports whether this process is to end.
 func (r *Relay) stopAsked() bool {
 	select {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -6,10 +6,13 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"troutusher/decide"
@@ -63,8 +66,11 @@
 	taking    *taking
 	taker     takeover.Taker
 	lock      *stateLock
-	keeper    *keeper        // nil where nothing is kept
-	frozen    int64          // when the clients were last read, on the system's monotonic clock
+	keeper    *keeper      // nil where nothing is kept
+	frozen    int64        // when the clients were last read, on the system's monotonic clock
+	asked     atomic.Int64 // how often the configuration was to be read again
+	told      int64        // of them, as another process was told of
+	re        Reload
 	passed    map[string]int // calls that the process before had out, by message
 	closeLog  func()
 	stop      <-chan struct{}
@@ -75,26 +81,47 @@
 
 // Run serves until stop is closed and the end is made, until another process has
 // taken the work over, or something fails that a relay cannot go on without.
+// Where the process that took over died before it served, it starts anew from the
+// log, with the configuration that it was last told to read.
 func Run(cfg *Config, log *slog.Logger, stop <-chan struct{}, re Reload) error {
+	for {
+		asked, err := run(cfg, log, stop, re)
+		if !errors.Is(err, errStartAnew) {
+			return err
+		}
+		log.Warn("hand-over: the process that took over is gone, starting from the log")
+		if asked {
+			if fresh, err := re.Read(); err != nil {
+				log.Error("new configuration not taken over, the old one stays", "err", err)
+			} else {
+				cfg = fresh
+			}
+		}
+	}
+}
+
+// run is one life of a relay; asked tells whether the configuration was read again
+// in it.
+func run(cfg *Config, log *slog.Logger, stop <-chan struct{}, re Reload) (asked bool, err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	r := &Relay{cfg: cfg, log: log, in: newMailbox[happening](), began: time.Now(), ctx: ctx, stop: stop, homes: map[decide.Endpoint]*home{},
+	r := &Relay{cfg: cfg, log: log, in: newMailbox[happening](), began: time.Now(), ctx: ctx, stop: stop, re: re, homes: map[decide.Endpoint]*home{},
 		duty: &duties{}, board: console.NewBoard(classNames(cfg))}
+	defer func() { asked = r.asked.Load() > 0 }()
 	if cfg.Console != "" { // it answers from the first moment on
 		con, err := console.Listen(cfg.Console, r.calls(), log)
 		if err != nil {
-			return err
+			return false, err
 		}
 		defer con.Close()
 		go con.Serve()
 	}
-	var err error
 	set := core.Settings{Policy: cfg.Policy, Seed: cfg.Seed, Epoch: r.began.UnixMicro() - clockStart,
 		Stories: cfg.Stories, Rest: cfg.Rest, Zones: cfg.zones, Kinds: cfg.kinds, Classes: cfg.classes, Tenants: cfg.tenants}
 	if len(cfg.TLS) > 0 {
 		r.partners, err = secure.New(secure.Options{Rules: cfg.TLS, Handshakes: cfg.Handshakes, Log: log, Seed: cfg.Seed, State: cfg.State, Barred: r.barred})
 		if err != nil {
-			return err
+			return false, err
 		}
 		set.Opening = r.partners.Opening
 		r.shown.Store(r.partners)
@@ -103,7 +130,7 @@
 	}
 	r.core, err = core.New(set)
 	if err != nil {
-		return fmt.Errorf("config: settings: %w", err)
+		return false, fmt.Errorf("config: settings: %w", err)
 	}
 	_, conns := cfg.budget()
 	keep := time.Duration(cfg.Policy.KeepAlive) * time.Microsecond
@@ -130,14 +157,14 @@
 	go r.follow(ctx, re)
 
 	if r.lock, err = openLock(cfg.State); err != nil {
-		return err
+		return false, err
 	}
 	defer r.lock.close()
 	list := sync.OnceValue(r.firstList)
 	heard := false
 	inherited, err := r.claim(func() { list(); heard = true })
 	if err != nil {
-		return err
+		return false, err
 	}
 	opt := cfg.frontOptions()
 	opt.Log = log
@@ -149,7 +176,7 @@
 	for i, fd := range inherited.listeners {
 		ln, err := front.Listener(fd)
 		if err != nil {
-			return fmt.Errorf("listen: handed over: %w", err)
+			return false, fmt.Errorf("listen: handed over: %w", err)
 		}
 		inherited.listeners[i] = -1
 		opt.Listeners = append(opt.Listeners, ln)
@@ -160,11 +187,20 @@
 	}
 	// Before the log is touched: who has the address may be a relay that knows
 	// of no lock.
-	cl, err := newClients(cfg, opt, func(q *request) { r.tell(core.Event{Kind: core.Put, Request: &q.Request}) },
-		func(q *request, ok bool) { r.tell(core.Event{Kind: core.Said, Request: &q.Request, OK: ok}) },
-		append([]string{cfg.Listen}, cfg.Operator.Listen...)...)
+	listen := func() (*clients, error) {
+		return newClients(cfg, opt, func(q *request) { r.tell(core.Event{Kind: core.Put, Request: &q.Request}) },
+			func(q *request, ok bool) { r.tell(core.Event{Kind: core.Said, Request: &q.Request, OK: ok}) },
+			append([]string{cfg.Listen}, cfg.Operator.Listen...)...)
+	}
+	cl, err := listen()
+	// The system takes lock, link and address from a process that dies one after
+	// the other: who has heard of its end by the first may find the last still held.
+	for end := time.Now().Add(addressWait); errors.Is(err, syscall.EADDRINUSE) && len(opt.Listeners) == 0 && time.Now().Before(end); cl, err = listen() {
+		cross(seamInUse)
+		time.Sleep(lockPause)
+	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	cl.duty, cl.late = r.duty, r.board.Late
 	r.passed = inherited.calls
@@ -172,7 +208,7 @@
 	disk := int64(cfg.Limits.DiskMB) << 20
 	wal, owed, err := openWAL(cfg.State, disk-r.keeper.reserve(disk), func(id string) bool { _, ok := inherited.calls[id]; return ok }, log)
 	if err != nil {
-		return err
+		return false, err
 	}
 	r.wal = wal
 	walStop := make(chan struct{})
@@ -207,13 +243,19 @@
 		r.carryOut(r.core.Restore(r.now(), owed, nil, 0, r.effects[:0]))
 	} else {
 		r.carryOut(r.core.Restore(r.now(), owed, inherited.Core, inherited.Mono-(mono()-r.now()), r.effects[:0]))
-		r.book(list())
+		heard := list()
+		r.book(r.newer(heard, inherited))
+		if inherited.Again {
+			r.readAgain()
+		}
 	}
+	cross(seamTakenUp)
 	r.step()
 	kept := cl.front.Adopt(inherited.conns)
 	inherited.conns = nil
+	cross(seamAdopted)
 	if err := cl.front.Open(); err != nil {
-		return err
+		return false, err
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- cl.front.Run() }()
@@ -225,6 +267,7 @@
 	r.duty.open(cl.front)
 	if inherited.link != nil {
 		r.taker.Step(takeover.Up)
+		cross(seamUp)
 		if err := inherited.link.Send(pktServing, nil, time.Now().Add(sendWait)); err != nil {
 			log.Warn("hand-over: the process before did not hear that it may end", "err", err)
 		}
@@ -242,12 +285,12 @@
 		"handed_over", inherited.Core != nil, "clients", kept)
 	err = r.loop(cl, failed)
 	if err == errGiven {
-		return nil
+		return false, nil
 	}
 	if err == nil {
 		r.keeper.last()
 	}
-	return err
+	return false, err
 }
 
 func news(l *List) core.Event {
@@ -291,6 +334,25 @@
 	r.tell(core.Event{Kind: core.Begin})
 }
 
+// newer leaves out lists that the process before has heard later ones than, from
+// the same agent: what has drained since is not up again. What is left out is had
+// once more, whole, in case the registry has begun anew.
+func (r *Relay) newer(lists []core.Event, before *inheritance) []core.Event {
+	switch {
+	case before.Agent == r.agent:
+	case before.Again: // it had moved, and this one will
+		return nil
+	default:
+		return lists // another's versions are its own
+	}
+	all := len(lists)
+	lists = slices.DeleteFunc(lists, func(e core.Event) bool { return e.List.Revision < r.core.Revision() })
+	if len(lists) < all {
+		r.discovery.moves.put(r.agent)
+	}
+	return lists
+}
+
 // firstList is the same for a process that is to take over from another one,
 // which serves meanwhile, or that has no list: it returns what was heard. The list
 // in the configuration is not among it, since the other's is newer.
@@ -416,6 +478,29 @@
 	seamLetGo    = "clients are let go"
 	seamUnlisten = "nobody new is let in"
 	seamEnd      = "the process ends"
+	seamInUse    = "the address is in use"
+
+	// Of a hand-over, the side that serves.
+	seamAsked   = "give: asked"
+	seamQuiet   = "give: requests are answered"
+	seamStill   = "give: all is at rest"
+	seamState   = "give: the state is sent"
+	seamListen  = "give: the listeners are sent"
+	seamConns   = "give: the clients are sent"
+	seamCalls   = "give: the calls are sent"
+	seamLock    = "give: the lock is sent"
+	seamSent    = "give: all is sent"
+	seamOthers  = "give: it is the other's"
+	seamLetOver = "give: let go"
+	// And the side that starts.
+	seamLinked  = "take: linked"
+	seamHeard   = "take: the list is heard"
+	seamWhole   = "take: all has come"
+	seamLocked  = "take: the lock is held"
+	seamMine    = "take: said mine"
+	seamTakenUp = "take: taken up"
+	seamAdopted = "take: clients are adopted"
+	seamUp      = "take: serves"
 )
 
 // seam is called at such a point. Tests alone set it, before a relay runs.
--- a/internal/relay/operate_test.go
+++ b/internal/relay/operate_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -56,16 +58,23 @@
 	return got
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 20000+(uint32(os.Getpid())*211+lastPort.Add(1))%12000)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			ln.Close()
+			return addr
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
+// lastPort counts the ports given out. They lie below those that the system gives
+// to connections, which would take one between here and its use.
+var lastPort atomic.Uint32
+
 // A drained relay says no to PING on every connection, serves what still comes
 // on those that are open, lets them go, and serves again once the drain ends;
 // any number of times.
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -23,13 +23,30 @@
 		case <-ctx.Done():
 			return
 		case <-re.Asked:
+			r.asked.Add(1)
 		}
-		cfg, err := re.Read()
-		if err != nil {
-			r.log.Error("new configuration not taken over, the old one stays", "err", err)
-			continue
+		if cfg := r.readNew(); cfg != nil {
+			r.in.put(happening{config: cfg})
 		}
-		r.in.put(happening{config: cfg})
+	}
+}
+
+// readNew is the configuration as it is now; nil for one that is of no use.
+func (r *Relay) readNew() *Config {
+	cfg, err := r.re.Read()
+	if err != nil {
+		r.log.Error("new configuration not taken over, the old one stays", "err", err)
+		return nil
+	}
+	return cfg
+}
+
+// readAgain is for a process that took over from one that was told to: it began
+// with what the environment says, which the file has been put before since.
+func (r *Relay) readAgain() {
+	r.asked.Add(1)
+	if cfg := r.readNew(); cfg != nil {
+		r.reconfigure(cfg)
 	}
 }
 
