The referee judges what becomes of messages that a restart finds untried

Change: what a relay had taken on and never called, with half of its time left, is booked as it is ready again after a kill or a planned end; over half of it ended with no call breaks the term, from 10 messages on (a choice: fewer prove nothing). The report has the figures.

--- a/internal/rehearse/referee/referee.go
+++ b/internal/rehearse/referee/referee.go
@@ -39,10 +39,13 @@
 	Order     Rule = "order holds"
 	Waits     Rule = "waits are respected"
 	Strays    Rule = "calls go where their message says"
+	// The term for restarts: of what a start finds taken on and untried, with half
+	// of its time left, most is tried before it is ended.
+	Untried Rule = "what a restart finds untried is tried"
 )
 
 // Rules lists them in the order of a report.
-func Rules() []Rule { return []Rule{Missing, Once, Drains, Returning, Order, Waits, Strays} }
+func Rules() []Rule { return []Rule{Missing, Once, Drains, Returning, Order, Waits, Strays, Untried} }
 
 // Class is what the rules need of a class of message.
 type Class struct {
@@ -78,6 +81,8 @@
 	DrainGrace   Time    // a call may begin so long after word of a drain
 	WaitPass     Time    // a call that comes so soon after a wait was told is let through
 	Guilty       float64 // part of the load that pushed a destination over, from relays that knew
+	EndedUntried float64 // part of what starts find untried that may be ended with no call
+	UntriedLeast int     // the term is judged where starts find so many
 }
 
 // Violation is a broken rule.
@@ -121,6 +126,7 @@
 	delivered bool
 	notice    int // of trace.Notice..., -1 for none
 	calls     []*call
+	untried   bool // a start found it so, and it has been neither called nor ended since
 }
 
 func (h *handIn) finished() bool { return h.delivered || h.notice >= 0 || h.state != accepted }
@@ -170,8 +176,13 @@
 	due     dues
 	now     Time
 	found   []Violation
+	starts  Starts
 }
 
+// Starts says what became of the messages that starts found taken on and untried,
+// with half of their time left or more. A message counts once.
+type Starts struct{ Untried, Tried, Ended int }
+
 type thread struct {
 	relay int
 	key   uint64
@@ -194,6 +205,9 @@
 	return v
 }
 
+// Starts is what starts found untried, and what became of it so far.
+func (r *Referee) Starts() Starts { return r.starts }
+
 func (r *Referee) convict(rule Rule, h *handIn, relay, endpoint int, format string, a ...any) {
 	v := Violation{Rule: rule, At: r.now, Message: -1, Relay: relay, Endpoint: endpoint, Evidence: fmt.Sprintf(format, a...)}
 	if h != nil {
@@ -293,6 +307,9 @@
 		r.forget(e.Relay)
 	case trace.Ready:
 		x := &r.relays[e.Relay]
+		if x.down {
+			r.restarted(e.Relay)
+		}
 		x.down, x.grace = false, r.now+r.f.RestartGrace
 	case trace.Stray:
 		r.found = append(r.found, Violation{Rule: Strays, At: r.now, Message: -1, ID: e.ID, Relay: e.Relay, Endpoint: e.Endpoint,
@@ -306,6 +323,21 @@
 		r.relays[i].down = false
 	}
 	r.overdue(at)
+	if s := r.starts; s.Untried >= r.f.UntriedLeast && float64(s.Ended) > r.f.EndedUntried*float64(s.Untried) {
+		r.now = max(r.now, at)
+		r.convict(Untried, nil, -1, -1, "of %d messages that starts found taken on and untried, with half of their time left, %d were ended with no call", s.Untried, s.Ended)
+	}
+}
+
+// restarted: a relay serves again after a kill or a planned end, on what it had
+// taken on before.
+func (r *Referee) restarted(relay int) {
+	for _, h := range r.ids {
+		if h.relay == relay && h.state == accepted && !h.finished() && len(h.calls) == 0 && !h.untried && 2*(h.due-r.now) >= h.due-h.at {
+			h.untried = true
+			r.starts.Untried++
+		}
+	}
 }
 
 // forget: a process has ended, and with it what it was told.
@@ -433,6 +465,10 @@
 		r.inOrder(h, c)
 	}
 	h.calls = append(h.calls, c)
+	if h.untried {
+		h.untried = false
+		r.starts.Tried++
+	}
 }
 
 // again judges a call of a message that had calls before, under this id or an
@@ -570,6 +606,10 @@
 		return
 	}
 	h.notice = e.Status
+	if h.untried {
+		h.untried = false
+		r.starts.Ended++
+	}
 	if e.Status == trace.NoticeHandedBack && h.state != void {
 		r.assured(h, "it was handed back")
 	}
--- a/internal/rehearse/referee/referee_test.go
+++ b/internal/rehearse/referee/referee_test.go
@@ -281,3 +281,62 @@
 		r.Violations()
 	})
 }
+
+// The term for restarts: over half of what starts find untried, with half of its
+// time left, ended with no call. What has no time left, was called before, ends
+// while its relay is down or is found in a hand-over counts for nothing.
+func TestUntriedAtRestart(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		tried, back int // of ten that a start finds
+		downFrom    Time
+		least       int
+		called      bool // before the start
+		never       bool // the relay is never down
+		want        Starts
+		broken      bool
+	}{
+		{"half of them", 5, 5, s, 10, false, false, Starts{10, 5, 5}, false},
+		{"more than half", 4, 6, s, 10, false, false, Starts{10, 4, 6}, true},
+		{"few of them", 0, 9, s, 11, false, false, Starts{10, 0, 9}, false},
+		{"under half of their time left", 0, 10, 5 * s, 10, false, false, Starts{}, false},
+		{"called before", 0, 10, s, 10, true, false, Starts{}, false},
+		{"no start", 0, 10, s, 10, false, true, Starts{}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := figures()
+			f.EndedUntried, f.UntriedLeast = 0.5, c.least
+			x := &script{r: New(f)}
+			ids := make([]string, 10)
+			for i := range ids {
+				ids[i] = string(rune('a' + i))
+				if x.put(ids[i], 0, 0); c.called {
+					x.call(uint64(i+1), ids[i], 0, 0).ended(uint64(i+1), 503)
+				}
+			}
+			x.put("other", 0, 1) // another relay's
+			if x.at(c.downFrom); !c.never {
+				x.kind(trace.Killed, 0)
+			}
+			x.at(c.downFrom+s).kind(trace.Ready, 0)
+			x.at(c.downFrom + s + 100*ms)
+			for i := range c.tried {
+				x.call(uint64(100+i), ids[i], 0, 0).ended(uint64(100+i), 503)
+			}
+			for i := range 10 { // what was called may be handed back as well
+				if i < c.tried || i < c.tried+c.back {
+					x.notice(ids[i], trace.NoticeHandedBack)
+				}
+			}
+			x.notice("other", trace.NoticeHandedBack)
+			x.r.Finish(7 * s)
+			if got := x.r.Starts(); got != c.want {
+				t.Errorf("%+v, want %+v", got, c.want)
+			}
+			found := x.r.Violations()
+			if broken := len(found) == 1 && found[0].Rule == Untried; broken != c.broken || len(found) > 1 {
+				t.Errorf("violations: %v", found)
+			}
+		})
+	}
+}
--- a/internal/rehearse/report/report.go
+++ b/internal/rehearse/report/report.go
@@ -48,6 +48,7 @@
 	Delivery    Quantiles             `json:"delivery_ms"` // from the planned moment to the delivery
 	Late        Late                  `json:"late_ms"`
 	MemoryKB    []int                 `json:"relay_memory_kb"`
+	Untried     Untried               `json:"untried_at_restart"`
 	Door        int                   `json:"door"` // requests that met a connection refused, reset, or closed unread
 	Seconds     []Second              `json:"seconds"`
 	Faults      []Fault               `json:"faults"`
@@ -85,6 +86,14 @@
 	Wasted int         `json:"wasted"` // calls that were not delivered
 }
 
+// Untried says what became of the messages that restarts found taken on and
+// untried, with half of their time left.
+type Untried struct {
+	Found int `json:"found"`
+	Tried int `json:"tried"`
+	Ended int `json:"ended"` // with no call
+}
+
 // Window is a span of the rehearsal.
 type Window struct {
 	FromS   int     `json:"from_s"`
@@ -182,7 +191,8 @@
 	p, s := o.Plan, o.Plan.Scenario
 	r := &Report{Format: format, Version: Version, Scenario: s.Name, About: s.About, Seed: p.Seed, Environment: env, Floor: s.Floor,
 		Reasons: []string{}, Crashes: append([]string{}, o.Crashes...), Answers: quantiles(o.Answers), Delivery: quantiles(o.Delivery),
-		Late: Late{ms(o.LateDriver), ms(o.LateWorld), s.LateMS}, MemoryKB: append([]int{}, o.MemoryKB...), Door: o.Door}
+		Late: Late{ms(o.LateDriver), ms(o.LateWorld), s.LateMS}, MemoryKB: append([]int{}, o.MemoryKB...), Door: o.Door,
+		Untried: Untried{o.Starts.Untried, o.Starts.Tried, o.Starts.Ended}}
 	for _, c := range s.Classes {
 		r.Classes = append(r.Classes, Group{Name: c.Name})
 	}
--- a/internal/rehearse/report/text.go
+++ b/internal/rehearse/report/text.go
@@ -57,6 +57,9 @@
 	t.Flush()
 	fmt.Fprintf(b, "the kit was late by (p99): driver %.1f ms, stand-ins %.1f ms; %.0f at most\n", r.Late.Driver, r.Late.StandIn, r.Late.Most)
 	fmt.Fprintf(b, "requests that met a connection refused, reset or closed unread: %d\n", r.Door)
+	if u := r.Untried; u.Found > 0 {
+		fmt.Fprintf(b, "untried at a restart, with half of their time left: %d, of them %d called and %d ended with no call\n", u.Found, u.Tried, u.Ended)
+	}
 	if len(r.MemoryKB) > 0 {
 		fmt.Fprint(b, "most resident memory of the relays:")
 		for _, kb := range r.MemoryKB {
--- a/internal/rehearse/scenario/plan.go
+++ b/internal/rehearse/scenario/plan.go
@@ -347,7 +347,8 @@
 func (p *Plan) Figures() referee.Figures {
 	s, r := p.Scenario, &p.Scenario.Rules
 	f := referee.Figures{Relays: s.Relays.Count, Slack: Micros(r.SlackMS), EndSlack: Micros(r.EndSlackMS),
-		RestartGrace: Micros(r.RestartGraceMS), DrainGrace: Micros(r.DrainGraceMS), WaitPass: Micros(r.WaitPassMS), Guilty: 2.0 / 3}
+		RestartGrace: Micros(r.RestartGraceMS), DrainGrace: Micros(r.DrainGraceMS), WaitPass: Micros(r.WaitPassMS), Guilty: 2.0 / 3,
+		EndedUntried: 0.5, UntriedLeast: 10}
 	repeats := map[string]referee.Repeat{"safe": referee.Safe, "keyed": referee.Keyed, "unsafe": referee.Unsafe}
 	for _, c := range s.Classes {
 		f.Classes = append(f.Classes, referee.Class{Repeat: repeats[c.Repeat], Window: Micros(c.KeyWindowMS), InOrder: c.InOrder, Rest: Micros(c.RestMS)})
--- a/internal/rehearse/stage/stage.go
+++ b/internal/rehearse/stage/stage.go
@@ -62,10 +62,11 @@
 	End        trace.Time
 	Results    []load.Result
 	Violations []referee.Violation
-	Crashes    []string // relays that ended by themselves, and what else makes the relays fail
-	Trouble    []string // what went wrong in the kit itself: the run is void
-	Calls      []Calls  // by partner
-	Door       int      // requests that met a connection refused, reset or closed unread
+	Starts     referee.Starts // what restarts found untried
+	Crashes    []string       // relays that ended by themselves, and what else makes the relays fail
+	Trouble    []string       // what went wrong in the kit itself: the run is void
+	Calls      []Calls        // by partner
+	Door       int            // requests that met a connection refused, reset or closed unread
 	LateDriver trace.Time
 	LateWorld  trace.Time // of the stand-ins
 	Answers    *hdrhistogram.Histogram
@@ -559,7 +560,7 @@
 	o.Answers, o.Delivery = s.driver.Latencies()
 	s.hub.mu.Lock()
 	s.hub.judge.Finish(s.now())
-	o.Violations = s.hub.judge.Violations()
+	o.Violations, o.Starts = s.hub.judge.Violations(), s.hub.judge.Starts()
 	o.Calls = slices.Clone(s.hub.calls)
 	s.hub.mu.Unlock()
 	for i := range o.Violations {
