--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -125,6 +125,7 @@
 	Anew     bool     // Whole: it was read after the view asked for that
 	Members  []Member // in a change, those that were removed among them
 	Spoilt   []string // ids of entries that cannot be read: these stay as they were
+	Drained  []string // ids that drain, and of which it says nothing else
 }
 
 // Verdict is what a word is worth.
@@ -289,7 +290,7 @@
 		return Old
 	case !w.Whole && (!s.known || w.Epoch != s.epoch):
 		return Needed
-	case s.known && w.Epoch == s.epoch && w.Revision <= s.rev && !(w.Revision == s.rev && w.Whole && w.Anew):
+	case s.known && w.Epoch == s.epoch && (w.Revision < s.rev || w.Revision == s.rev && !w.Whole):
 		return Old
 	}
 	if s.known && w.Epoch != s.epoch {
@@ -317,6 +318,14 @@
 			named[id] = true
 		}
 	}
+	for _, id := range w.Drained {
+		if e := s.ids[id]; e != nil && e.Phase == Up {
+			m, spoilt := e.Member, e.spoilt
+			m.Phase = Draining
+			v.say(w.Source, &m)
+			e.spoilt = spoilt
+		}
+	}
 	var lost []string
 	for i := range w.Members {
 		m := &w.Members[i]
