A relay hears of endpoints and drains from etcd beside discovery's list

Need: the list comes seconds late; a drain that is published in etcd is to be obeyed at once. Off without the table: discovery's words go to the loop as before. The daemon imports the view and none of gRPC.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -118,14 +118,14 @@
 
 // Word is what a source says.
 type Word struct {
-	Source   int
-	Epoch    string // what its revisions belong to: an address, a cluster
-	Revision int64
-	Whole    bool     // all that it lists; else what changed
-	Anew     bool     // Whole: it was read after the view asked for that
-	Members  []Member // in a change, those that were removed among them
-	Spoilt   []string // ids of entries that cannot be read: these stay as they were
-	Drained  []string // ids that drain, and of which it says nothing else
+	Source   int      `json:"-"`     // whoever hands it in knows
+	Epoch    string   `json:"epoch"` // what its revisions belong to: an address, a cluster
+	Revision int64    `json:"revision"`
+	Whole    bool     `json:"whole,omitempty"`   // all that it lists; else what changed
+	Anew     bool     `json:"anew,omitempty"`    // Whole: it was read after the view asked for that
+	Members  []Member `json:"members,omitempty"` // in a change, those that were removed among them
+	Spoilt   []string `json:"spoilt,omitempty"`  // ids of entries that cannot be read: these stay as they were
+	Drained  []string `json:"drained,omitempty"` // ids that drain, and of which it says nothing else
 }
 
 // Verdict is what a word is worth.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -34,8 +34,66 @@
 	Learned    Learned    `toml:"learned"`
 	Rest       Rest       `toml:"rest"`
 	Discovery  Discovery  `toml:"discovery"`
+	Etcd       Etcd       `toml:"etcd"`
 }
 
+// Etcd is a prefix of an etcd cluster that is followed beside discovery.
+type Etcd struct {
+	// Endpoints of the cluster's members, as host:port; none for no etcd.
+	Endpoints []string `toml:"endpoints"`
+	// Prefix of the keys, a path.
+	Prefix string `toml:"prefix"`
+	// User, and a file with its password, where the cluster asks for them.
+	User         string `toml:"user"`
+	PasswordFile string `toml:"password_file"`
+	// Roots is a PEM file with the authorities that may vouch for a member; with it
+	// members are called over TLS. Certificate and Key are what is shown to them.
+	Roots       string `toml:"roots"`
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	ServerName  string `toml:"server_name"`
+	// First is "etcd" or "registry": whose address and rate count where they differ.
+	First string `toml:"first"`
+}
+
+func (e *Etcd) check(check *tomlfile.Checker) {
+	if len(e.Endpoints) == 0 {
+		if e.Prefix != "" || e.User != "" {
+			check.Wrong("etcd.endpoints", "missing")
+		}
+		return
+	}
+	if len(e.Endpoints) > membersMost {
+		check.Wrong("etcd.endpoints", "%d, want %d at most", len(e.Endpoints), membersMost)
+	}
+	for _, at := range e.Endpoints {
+		host, port, err := net.SplitHostPort(at)
+		if n, numErr := strconv.ParseUint(port, 10, 16); err != nil || host == "" || numErr != nil || n == 0 {
+			check.Wrong("etcd.endpoints", "%.80q, want host:port", at)
+		}
+	}
+	if !strings.HasPrefix(e.Prefix, "/") || strings.Trim(e.Prefix, "/") == "" || len(e.Prefix) > prefixMost {
+		check.Wrong("etcd.prefix", "%.80q, want a path that begins with a slash", e.Prefix)
+	}
+	if (e.User == "") != (e.PasswordFile == "") {
+		check.Wrong("etcd.user", "user and password_file are named together or not at all")
+	}
+	if (e.Certificate == "") != (e.Key == "") {
+		check.Wrong("etcd.certificate", "certificate and key are named together or not at all")
+	}
+	if e.Roots == "" && (e.Certificate != "" || e.ServerName != "") {
+		check.Wrong("etcd.roots", "missing, with a certificate or a server_name")
+	}
+	if e.First != "" && e.First != "etcd" && e.First != "registry" {
+		check.Wrong("etcd.first", "%.40q, want etcd or registry", e.First)
+	}
+}
+
+const (
+	membersMost = 64
+	prefixMost  = 256
+)
+
 // Rest says which destinations are put away.
 type Rest struct {
 	// Awake is how many destinations may be awake for any time; -1 for all.
@@ -247,6 +305,7 @@
 	if n := f.Discovery.ListMB; n < 0 || n > listMost {
 		check.Wrong("discovery.list_mb", "%d, want 1 to %d", n, listMost)
 	}
+	f.Etcd.check(check)
 	f.checkTLS(check)
 	return f, check.Err()
 }
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -43,6 +43,7 @@
 	LearnedEvery time.Duration    // between two writes of what was learned; 0 for none
 	Rest         dormant.Limits   // which destinations are put away
 	ListMost     int              // bytes of discovery's list
+	Etcd         *operator.Etcd   // nil where none is followed
 	Stories      int              // messages a second that the log tells of from their hand-in on
 	TLS          []operator.TLS   // likewise
 	Handshakes   operator.Handshakes
@@ -86,6 +87,9 @@
 	if own != nil {
 		stories, learned, rest, disc = own.Stories, own.Learned, own.Rest, own.Discovery
 		c.TLS, c.Handshakes = own.TLS, own.Handshakes
+		if len(own.Etcd.Endpoints) > 0 {
+			c.Etcd = &own.Etcd
+		}
 		if err := c.apply(&own.Clients); err != nil {
 			return nil, fmt.Errorf("%s: %w", operator.Env, err)
 		}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -86,6 +86,8 @@
 	news    func(*List) // called in order
 	end     func()      // set where it may be ended before its context
 	follow  *registry.Follower
+	life    func()        // a sign of life that brings no news; may be nil
+	turns   int           // addresses watched so far
 	first   chan struct{} // closed once the first call was answered, in whatever way
 	once    sync.Once
 }
@@ -109,6 +111,7 @@
 // after word of a drain counts from when discovery wrote it.
 func (d *discovery) at(ctx context.Context, addr string) {
 	d.base = "http://" + addr
+	d.turns++
 	defer d.client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		c := d.follow.Next()
@@ -139,6 +142,9 @@
 	d.news(l)
 }
 
+// epoch names what the revisions are of that are heard now. It is for news.
+func (d *discovery) epoch() string { return fmt.Sprintf("%s#%d", d.base, d.turns) }
+
 // giveBack returns to the system, once it has been booked, what a long list took
 // while it was read: nothing else here would have it collected for minutes.
 func giveBack(read int) {
@@ -235,6 +241,9 @@
 	lists := newLists(resp.Body, d.most, func() {
 		quiet.Reset(d.silence)
 		d.answered() // an empty line as well: nothing has changed
+		if d.life != nil {
+			d.life()
+		}
 	})
 	torn := time.AfterFunc(time.Hour, func() { cancel(errTorn) })
 	defer torn.Stop()
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -68,6 +68,9 @@
 }
 
 func TestMain(m *testing.M) {
+	if os.Getenv(helperEnv) != "" {
+		os.Exit(helper())
+	}
 	if os.Getenv(childEnv) == "" {
 		os.Exit(m.Run())
 	}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -19,6 +19,7 @@
 	"troutusher/internal/console"
 	"troutusher/internal/core"
 	"troutusher/internal/front"
+	"troutusher/internal/membership"
 	"troutusher/internal/secure"
 	"troutusher/internal/source/registry"
 	"troutusher/internal/story"
@@ -67,6 +68,8 @@
 	taker     takeover.Taker
 	lock      *stateLock
 	keeper    *keeper      // nil where nothing is kept
+	members   *members     // nil where discovery alone says who is there
+	watched   atomic.Value // the address of discovery, a string, for it
 	frozen    int64        // when the clients were last read, on the system's monotonic clock
 	asked     atomic.Int64 // how often the configuration was to be read again
 	told      int64        // of them, as another process was told of
@@ -150,6 +153,11 @@
 		follow.Know(cfg.Known.Revision)
 	}
 	r.discovery = newDiscovery(cfg.Discovery, log, follow, func(l *List) { r.in.put(happening{Event: news(l)}) })
+	if cfg.Etcd != nil {
+		if err := r.merge(); err != nil {
+			return false, err
+		}
+	}
 	r.discovery.end = unwatch
 	r.discovery.most = cmp.Or(cfg.ListMost, listMost)
 	go r.discovery.run(watch)
@@ -161,6 +169,9 @@
 	}
 	defer r.lock.close()
 	list := sync.OnceValue(r.firstList)
+	if r.members != nil { // what discovery says goes through the view, once that has begun
+		list = func() []core.Event { return nil }
+	}
 	heard := false
 	inherited, err := r.claim(func() { list(); heard = true })
 	if err != nil {
@@ -250,6 +261,11 @@
 		}
 	}
 	cross(seamTakenUp)
+	if r.members != nil {
+		r.members.seed(r.core.Learn(r.now()).List())
+		go r.members.run(ctx)
+		go r.members.help(watch)
+	}
 	r.step()
 	kept := cl.front.Adopt(inherited.conns)
 	inherited.conns = nil
@@ -331,9 +347,32 @@
 	case <-r.ctx.Done():
 		return
 	}
+	if r.members != nil {
+		r.members.after(func() { r.tell(core.Event{Kind: core.Begin}) })
+		return
+	}
 	r.tell(core.Event{Kind: core.Begin})
 }
 
+// merge has discovery's words go through a view that etcd's go through as well.
+func (r *Relay) merge() (err error) {
+	d := r.discovery
+	r.members, err = newMembers(r.cfg.Etcd, r.cfg.State, r.log, r.tell, func() { d.moves.put(r.watched.Load().(string)) })
+	if err != nil {
+		return err
+	}
+	d.news = func(l *List) {
+		w := &membership.Word{Epoch: d.epoch(), Revision: l.Revision, Whole: l.Complete}
+		for _, x := range l.Members {
+			w.Members = append(w.Members, membership.Member(x))
+		}
+		r.members.put(r.members.registry, w)
+	}
+	d.life = func() { r.members.put(r.members.registry, nil) }
+	r.watched.Store(r.cfg.Discovery)
+	return nil
+}
+
 // newer leaves out lists that the process before has heard later ones than, from
 // the same agent: what has drained since is not up again. What is left out is had
 // once more, whole, in case the registry has begun anew.
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -62,6 +62,7 @@
 	}
 	r.log.Info("new configuration: discovery moves", "from", r.agent, "to", cfg.Discovery)
 	r.agent = cfg.Discovery
+	r.watched.Store(r.agent)
 	r.discovery.moves.put(r.agent)
 	r.notices.moves.put(r.agent)
 }
