Troubles of etcd that come a second apart are not paused for

A watch that told a change and fell silent within a second counted as one that ends as it begins, and the third in a row was paused for; a member that was back was not called for up to 1 s. Lines at fault: machine.go, alive (a second was the only proof); follow.go, redialMost. Change: a change that is told is proof; a member is called again after 0.25 s at most.

--- a/internal/source/etcd/follow/follow.go
+++ b/internal/source/etcd/follow/follow.go
@@ -27,8 +27,9 @@
 )
 
 const (
-	answerMost = 64 << 20 // bytes of one answer
-	redialMost = time.Second
+	answerMost = 64 << 20               // bytes of one answer
+	redialMost = 250 * time.Millisecond // a member that is back is to be asked within a drain's grace
+	dialMost   = time.Second
 )
 
 // Options are what a follower needs.
@@ -81,7 +82,7 @@
 	for _, at := range o.Endpoints {
 		// A member is one address: which is asked, and when again, the machine says.
 		c, err := grpc.NewClient("passthrough:///"+at, grpc.WithTransportCredentials(creds),
-			grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 2, Jitter: 0.2, MaxDelay: redialMost}, MinConnectTimeout: redialMost}),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 2, Jitter: 0.2, MaxDelay: redialMost}, MinConnectTimeout: dialMost}),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(answerMost)), grpc.WithDisableServiceConfig())
 		if err != nil {
 			f.close()
--- a/internal/source/etcd/machine.go
+++ b/internal/source/etcd/machine.go
@@ -277,8 +277,9 @@
 	m.do(Do{Kind: DoWatch, Call: m.next(opening, m.set.Patience), Member: m.member, Key: strings.TrimSuffix(m.set.Prefix, "/") + "/", End: m.end(), Revision: m.rev + 1})
 }
 
-// alive books that the watch has said something. One that has lasted for a while is
-// no failure; one that ends as it begins is, however often it begins.
+// alive books that the watch has said something. One that has lasted for a while, or
+// has told a change, is no failure; one that ends as it begins is, however often it
+// begins.
 func (m *Machine) alive() {
 	m.due, m.asked = m.now+m.set.Quiet, false
 	if m.now >= m.since+steady {
@@ -397,7 +398,7 @@
 			m.log("cannot be read: %v", bad)
 		}
 	}
-	m.rev = last
+	m.rev, m.fails = last, 0
 	w := &membership.Word{Source: m.set.Source, Epoch: m.epoch(), Revision: m.rev}
 	m.table.members(ids, w)
 	m.do(Do{Kind: DoSay, Word: w})
