--- /dev/null
+++ b/cmd/troutusher-kit/publish.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"go.etcd.io/etcd/api/v3/etcdserverpb"
+
+	"troutusher/internal/operator"
+	"troutusher/internal/source/etcd/follow"
+	"troutusher/internal/source/etcd/publish"
+)
+
+// publishCommand is "troutusher publish": what operators say in etcd.
+type publishCommand struct {
+	List    publishList    `cmd:"" help:"Make endpoints and rates what a file says. Drains stay as they are."`
+	Drain   publishDrain   `cmd:"" help:"Have endpoints drain, whatever else is said of them."`
+	Undrain publishUndrain `cmd:"" help:"End that."`
+	Remove  publishRemove  `cmd:"" help:"Take endpoints away, with their drains."`
+	Show    publishShow    `cmd:"" help:"List what is published: id, address, destination, phase, revision."`
+}
+
+type publishList struct {
+	File string `arg:"" help:"JSON: {\"endpoints\":{\"ID\":{\"host_port\":\"...\",\"dest\":3}},\"partners\":{\"3\":{\"rate\":40}}}."`
+	All  bool   `help:"Also where it takes away over half of the endpoints."`
+}
+
+type publishDrain struct {
+	IDs []string `arg:"" name:"id" help:"Endpoints."`
+}
+
+type publishUndrain struct {
+	IDs []string `arg:"" name:"id" help:"Endpoints."`
+}
+
+type publishRemove struct {
+	IDs []string `arg:"" name:"id" help:"Endpoints."`
+}
+
+type publishShow struct{}
+
+const publishWait = 10 * time.Second
+
+// published connects to the cluster of the operator's file.
+func published(do func(context.Context, *publish.Prefix) error) error {
+	file, err := operator.Load(os.Getenv)
+	if err == nil && file == nil {
+		err = fmt.Errorf("%s: not set", operator.Env)
+	}
+	if err != nil {
+		return err
+	}
+	o, err := follow.FromOperator(&file.Etcd)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), publishWait)
+	defer cancel()
+	conn, ctx, err := follow.Dial(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	return do(ctx, &publish.Prefix{KV: etcdserverpb.NewKVClient(conn), Path: file.Etcd.Prefix})
+}
+
+func told(out io.Writer, d *publish.Done, err error) error {
+	if err != nil {
+		return err
+	}
+	for _, k := range d.Put {
+		fmt.Fprintln(out, "put    ", k)
+	}
+	for _, k := range d.Deleted {
+		fmt.Fprintln(out, "deleted", k)
+	}
+	if d.Revision == 0 {
+		fmt.Fprintln(out, "nothing to change")
+		return nil
+	}
+	fmt.Fprintln(out, "revision", d.Revision)
+	return nil
+}
+
+func (c *publishList) Run(out io.Writer) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	l := &publish.List{}
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(l); err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	return published(func(ctx context.Context, p *publish.Prefix) error {
+		d, err := p.Publish(ctx, l, c.All)
+		return told(out, d, err)
+	})
+}
+
+func (c *publishDrain) Run(out io.Writer) error {
+	return published(func(ctx context.Context, p *publish.Prefix) error {
+		d, err := p.Drain(ctx, false, c.IDs...)
+		return told(out, d, err)
+	})
+}
+
+func (c *publishUndrain) Run(out io.Writer) error {
+	return published(func(ctx context.Context, p *publish.Prefix) error {
+		d, err := p.Drain(ctx, true, c.IDs...)
+		return told(out, d, err)
+	})
+}
+
+func (c *publishRemove) Run(out io.Writer) error {
+	return published(func(ctx context.Context, p *publish.Prefix) error {
+		d, err := p.Remove(ctx, c.IDs...)
+		return told(out, d, err)
+	})
+}
+
+func (c *publishShow) Run(out io.Writer) error {
+	return published(func(ctx context.Context, p *publish.Prefix) error {
+		lines, err := p.Show(ctx)
+		if err != nil {
+			return err
+		}
+		w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+		for i := range lines {
+			fmt.Fprintln(w, strings.TrimSpace(lines[i].Text()))
+		}
+		return w.Flush()
+	})
+}
+
+func runPublish(args []string, out, errs io.Writer) int {
+	return runKong("publish", "Endpoints, rates and drains in etcd, where the operator's file ($TROUTUSHER_OPERATOR, table [etcd]) says.", &publishCommand{}, args, out, errs)
+}
--- a/internal/source/etcd/layout.go
+++ b/internal/source/etcd/layout.go
@@ -96,7 +96,8 @@
 	return folder, name, true
 }
 
-func checkID(id string) error {
+// CheckID tells what is wrong with an endpoint's id.
+func CheckID(id string) error {
 	if id == "" || len(id) > idMost {
 		return fmt.Errorf("an id of %d bytes", len(id))
 	}
@@ -172,6 +173,22 @@
 	return int(n), p, checkRate(p.Rate)
 }
 
+// CheckValue tells what a relay would find wrong with a value.
+func CheckValue(folder, name string, text []byte) error {
+	switch folder {
+	case endpoints:
+		if err := CheckID(name); err != nil {
+			return err
+		}
+		_, err := ReadEndpoint(text)
+		return err
+	case partners:
+		_, _, err := readPartner(name, text)
+		return err
+	}
+	return nil
+}
+
 // KV is a key and its value; Gone where it was deleted.
 type KV struct {
 	Key, Value string
@@ -208,7 +225,7 @@
 			return nil
 		}
 		e, err := ReadEndpoint([]byte(kv.Value))
-		if err = cmp.Or(checkID(name), err); err != nil {
+		if err = cmp.Or(CheckID(name), err); err != nil {
 			t.spoilt[name] = true
 			touched[name] = true
 			return fmt.Errorf("%.80q: %w", kv.Key, err)
--- a/internal/source/etcd/machine.go
+++ b/internal/source/etcd/machine.go
@@ -16,7 +16,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strings"
 
 	"troutusher/internal/membership"
@@ -460,9 +459,3 @@
 		m.retry([...]string{"", "no token in time", "no list in time", "no watch in time", "the watch is silent"}[m.state])
 	}
 }
-
-// Prefixes are the keys that a publisher writes, for one endpoint: its own, and its
-// drain's.
-func Prefixes(prefix, id string) []string {
-	return slices.Clone([]string{Key(prefix, endpoints, id), Key(prefix, drains, id)})
-}
