Members shown with who said what of them, from what a relay keeps

Need: where sources disagree an operator has to see whose word holds. Change: troutusher members STATEFOLDER, as a table or JSON, from the file that a relay with etcd keeps. Measured: a test with two names of one endpoint, and files that make no sense.

--- a/cmd/troutusher-kit/main.go
+++ b/cmd/troutusher-kit/main.go
@@ -38,6 +38,7 @@
 		{"put", "hand one message to a relay", put},
 		{"crowd", "measure what idle connections cost a relay", measureCrowd},
 		{"learned", "show what a relay keeps of its destinations", runLearned},
+		{"members", "show who says what of which endpoint", runMembers},
 		{"publish", "put endpoints, rates and drains into etcd", runPublish},
 		{"follow", "follow a prefix of etcd, for a relay or to look at", runFollow},
 		{"fleet", "add up the logs of many relays", runFleet},
--- /dev/null
+++ b/cmd/troutusher-kit/members_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"troutusher/internal/membership"
+)
+
+// What a relay keeps is shown with who said what, under which name; a file that makes
+// no sense is an error.
+func TestMembersCommand(t *testing.T) {
+	v, err := membership.New(membership.Default(membership.Source{Name: "etcd", Stale: 1e6}, membership.Source{Name: "registry", Stale: 1e6}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := func(id, phase string) []membership.Member {
+		return []membership.Member{{ID: id, HostPort: "127.0.0.1:7001", Cell: 3, Phase: phase}}
+	}
+	v.Take(1, &membership.Word{Source: 0, Epoch: "c.0", Revision: 9, Whole: true, Members: at("a", membership.Draining)})
+	v.Take(1, &membership.Word{Source: 1, Epoch: "r", Revision: 41, Whole: true, Members: at("b", membership.Up)})
+	text, err := json.Marshal(v.Export(2))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "members"), text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	broken := filepath.Join(dir, "broken")
+	if err := os.WriteFile(broken, text[:len(text)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{[]string{"members", dir}, 0, "a   127.0.0.1:7001  3     draining  etcd  etcd draining@9, registry up@41 as b"},
+		{[]string{"members", "--json", filepath.Join(dir, "members")}, 0, `"by":"etcd"`},
+		{[]string{"members", broken}, 1, broken},
+		{[]string{"members", dir + "/none"}, 1, "none"},
+		{[]string{"members"}, 2, "state"},
+	} {
+		var out, errs bytes.Buffer
+		if code := dispatch(x.args, &out, &errs); code != x.code || !strings.Contains(out.String()+errs.String(), x.says) {
+			t.Errorf("%v: exit %d, want %d: %s%s", x.args, code, x.code, out.String(), errs.String())
+		}
+	}
+}
