Endpoints that are held down wait in a heap, not in each step's way

Lines at fault: membership.go, Step and Next (the list of ups). Change: an up that is put off waits in a heap by its moment.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -25,6 +25,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"errors"
 	"fmt"
 	"math"
@@ -221,6 +222,26 @@
 	waiting  bool // an up, or more of it, is to be told
 }
 
+// putOff is an up that is put off.
+type putOff struct {
+	at Time
+	id string
+}
+
+type putOffs []putOff
+
+func (l putOffs) Len() int { return len(l) }
+func (l putOffs) Less(i, j int) bool {
+	return l[i].at < l[j].at || l[i].at == l[j].at && l[i].id < l[j].id
+}
+func (l putOffs) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+func (l *putOffs) Push(x any)   { *l = append(*l, x.(putOff)) }
+func (l *putOffs) Pop() any {
+	x := (*l)[len(*l)-1]
+	*l = (*l)[:len(*l)-1]
+	return x
+}
+
 // View is the one view.
 type View struct {
 	set     Settings
@@ -230,6 +251,7 @@
 	view    map[string]*shown
 	urgent  []string  // drains, removals, cuts: to be told in the next step
 	waiting []string  // ups, in their order
+	off     putOffs   // ups of those that went down too often, by when they may come
 	gone    []removal // in their order
 	notes   []Note
 	now     Time
@@ -640,6 +662,9 @@
 	for _, id := range urgent {
 		changes = v.tell(changes, id)
 	}
+	for len(v.off) > 0 && v.off[0].at <= v.now {
+		v.waiting = append(v.waiting, heap.Pop(&v.off).(putOff).id)
+	}
 	kept := v.waiting[:0]
 	told := 0
 	for i, id := range v.waiting {
@@ -651,7 +676,7 @@
 			v.waiting = kept
 			return changes
 		case v.dampened(x):
-			kept = append(kept, id)
+			heap.Push(&v.off, putOff{x.downAt + v.set.HoldDown, id})
 		default:
 			x.waiting = false
 			n := len(changes)
@@ -745,12 +770,11 @@
 	if len(v.urgent) > 0 {
 		return max(v.now, 1)
 	}
-	for _, id := range v.waiting {
-		x := v.view[id]
-		if x == nil || !v.dampened(x) {
-			return max(v.now, 1)
-		}
-		earlier(x.downAt + v.set.HoldDown)
+	if len(v.waiting) > 0 {
+		return max(v.now, 1)
+	}
+	if len(v.off) > 0 {
+		earlier(v.off[0].at)
 	}
 	for i := range v.sides {
 		if s := &v.sides[i]; s.fresh {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"reflect"
+	"runtime"
 	"slices"
 	"testing"
 
@@ -587,15 +588,23 @@
 	for _, n := range []int{1000, 10000, 50000} {
 		all := many(n)
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			var v *View
 			for b.Loop() {
-				v := newView(b)
+				v = newView(b)
 				v.Take(s, whole(etcd, 1, all...))
 				v.Take(s, whole(disc, 1, all...))
 				for v.Next() <= s {
 					v.Step(s)
 				}
 			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			runtime.KeepAlive(v)
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/endpoint")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "B/endpoint")
 		})
 	}
 }
