--- a/internal/relay/takeover_cross_test.go
+++ b/internal/relay/takeover_cross_test.go
@@ -163,6 +163,21 @@
 	t.Run("and the new process dies", func(t *testing.T) { moves(t, true, seamStill, seamTakenUp+"=KILL") })
 }
 
+// drainIsKept hands in messages for destination 1, of which one endpoint has drained.
+func drainIsKept(t *testing.T, env map[string]string, gone, stays *fakeEndpoint) {
+	t.Helper()
+	cl := dialClient(t, env["ROUTER_LISTEN"])
+	for _, id := range strings.Fields("a b c d e f g h i j k l") {
+		if s := cl.put(id, fields("plain", 20000, 1), nil); s != "+OK" {
+			t.Fatal(s)
+		}
+		waitFor(t, "the call of "+id, func() bool { return gone.count(id)+stays.count(id) == 1 })
+		if gone.count(id) > 0 {
+			t.Errorf("%s went to who has drained", id)
+		}
+	}
+}
+
 // A process that takes over has a list that is older than what the one before has
 // heard since: what drained meanwhile is not up again.
 func TestAnOlderListOfTheOneThatTakesOver(t *testing.T) {
@@ -194,16 +209,7 @@
 	if got := figures(t, fresh.console())["cluster_unhealthy"]; got != 1 {
 		t.Errorf("%d endpoints are avoided after the hand-over", got)
 	}
-	cl := dialClient(t, env["ROUTER_LISTEN"])
-	for _, id := range strings.Fields("a b c d e f g h i j k l") {
-		if s := cl.put(id, fields("plain", 20000, 1), nil); s != "+OK" {
-			t.Fatal(s)
-		}
-		waitFor(t, "the call of "+id, func() bool { return gone.count(id)+stays.count(id) == 1 })
-		if gone.count(id) > 0 {
-			t.Errorf("%s went to who has drained", id)
-		}
-	}
+	drainIsKept(t, env, gone, stays)
 }
 
 // A process that dies lets go of its lock before its address: who starts on the
@@ -249,14 +255,5 @@
 	if got := figures(t, fresh.console())["cluster_unhealthy"]; got != 1 {
 		t.Errorf("%d endpoints are avoided after the hand-over", got)
 	}
-	cl := dialClient(t, env["ROUTER_LISTEN"])
-	for _, id := range strings.Fields("a b c d e f g h") {
-		if s := cl.put(id, fields("plain", 20000, 1), nil); s != "+OK" {
-			t.Fatal(s)
-		}
-		waitFor(t, "the call of "+id, func() bool { return gone.count(id)+stays.count(id) == 1 })
-		if gone.count(id) > 0 {
-			t.Errorf("%s went to who has drained", id)
-		}
-	}
+	drainIsKept(t, env, gone, stays)
 }
