--- /dev/null
+++ b/internal/source/etcd/follow/tls_test.go
@@ -0,0 +1,129 @@
+package follow
+
+import (
+	"bufio"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"troutusher/internal/devca"
+	"troutusher/internal/operator"
+	standin "troutusher/internal/standin/etcd"
+)
+
+// Members are called over TLS where the operator's file names roots: a member must
+// prove its name by them, and be shown a certificate where it wants one. The helper
+// says what it hears line by line, and ends with its input.
+func TestServeOverTLS(t *testing.T) {
+	issue := func(up *devca.Made, name string) *devca.Made {
+		t.Helper()
+		var m *devca.Made
+		var err error
+		if up == nil {
+			m, err = devca.Issue(nil, name, nil, devca.Authority)
+		} else {
+			m, err = devca.Issue(up, name, nil)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		return m
+	}
+	root, other := issue(nil, "root"), issue(nil, "another root")
+	own, client := issue(root, "etcd.example.org"), issue(root, "relay.example.org")
+	c, err := standin.NewCluster(1, grpc.Creds(credentials.NewTLS(&tls.Config{Certificates: []tls.Certificate{own.TLS()}, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: root.Pool()})))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	if _, err := c.Do(standin.Op{Key: "/t/endpoints/a", Value: value(1)}); err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	write := func(name string, m *devca.Made) (cert, key string) {
+		t.Helper()
+		cert, key, err := m.Write(dir, name, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return cert, key
+	}
+	roots, _ := write("roots", root)
+	wrong, _ := write("wrong", other)
+	cert, key := write("client", client)
+	password := filepath.Join(dir, "password")
+	if err := os.WriteFile(password, []byte("secret\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.Auth("relay", "secret")
+	good := operator.Etcd{Endpoints: c.Addrs(), Prefix: "/t", User: "relay", PasswordFile: password, Roots: roots, Certificate: cert, Key: key, ServerName: "etcd.example.org"}
+	for name, x := range map[string]struct {
+		change func(*operator.Etcd)
+		hears  bool
+		fails  string
+	}{
+		"all in order":      {func(*operator.Etcd) {}, true, ""},
+		"another root":      {func(e *operator.Etcd) { e.Roots = wrong }, false, ""},
+		"another name":      {func(e *operator.Etcd) { e.ServerName = "shop.example.org" }, false, ""},
+		"no certificate":    {func(e *operator.Etcd) { e.Certificate, e.Key = "", "" }, false, ""},
+		"no password":       {func(e *operator.Etcd) { e.PasswordFile = dir + "/none" }, false, "etcd.password_file"},
+		"no roots there":    {func(e *operator.Etcd) { e.Roots = dir + "/none" }, false, "etcd.roots"},
+		"roots hold no one": {func(e *operator.Etcd) { e.Roots = password }, false, "etcd.roots"},
+		"no key there":      {func(e *operator.Etcd) { e.Key = dir + "/none" }, false, "etcd.certificate"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := good
+			x.change(&e)
+			o, err := FromOperator(&e)
+			if x.fails != "" {
+				if err == nil || !strings.Contains(err.Error(), x.fails) {
+					t.Errorf("error %v, want one about %s", err, x.fails)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !x.hears { // one call tells as much as a follower that never hears
+				if conn, _, err := Dial(t.Context(), o); err == nil {
+					conn.Close()
+					t.Error("it was answered")
+				}
+				return
+			}
+			in, inEnd := io.Pipe()
+			out, outEnd := io.Pipe()
+			done := make(chan error, 1)
+			go func() { done <- Serve(t.Context(), o, in, outEnd); outEnd.Close() }()
+			lines := bufio.NewScanner(out)
+			words := 0
+			for lines.Scan() {
+				var l Line
+				if err := json.Unmarshal(lines.Bytes(), &l); err != nil {
+					t.Fatal(err)
+				}
+				if l.Word == nil {
+					continue
+				}
+				if !l.Word.Whole || len(l.Word.Members) != 1 || l.Word.Members[0].ID != "a" || l.Word.Anew != (words == 1) {
+					t.Errorf("%+v", *l.Word)
+				}
+				if words++; words == 1 { // what a relay asks
+					go io.WriteString(inEnd, Anew+"\n")
+				} else {
+					inEnd.Close()
+				}
+			}
+			if err := <-done; err != nil || words != 2 {
+				t.Errorf("%d words, then %v", words, err)
+			}
+		})
+	}
+}
--- a/internal/standin/etcd/server.go
+++ b/internal/standin/etcd/server.go
@@ -27,6 +27,7 @@
 	token   string
 	tokens  int
 	stop    chan struct{}
+	options []grpc.ServerOption
 }
 
 // Member is one of them.
@@ -47,9 +48,10 @@
 
 var errNoLeader = status.Error(codes.Unavailable, "etcdserver: no leader")
 
-// NewCluster starts one with so many members, on addresses of their own.
-func NewCluster(members int) (*Cluster, error) {
-	c := &Cluster{id: 0x7e57, store: NewStore(), wake: make(chan struct{}), stop: make(chan struct{})}
+// NewCluster starts one with so many members, on addresses of their own. Options are
+// their servers': TLS, maybe.
+func NewCluster(members int, options ...grpc.ServerOption) (*Cluster, error) {
+	c := &Cluster{id: 0x7e57, store: NewStore(), wake: make(chan struct{}), stop: make(chan struct{}), options: options}
 	for i := range members {
 		m := &Member{c: c, id: uint64(i + 1), addr: "127.0.0.1:0"}
 		c.members = append(c.members, m)
@@ -68,7 +70,7 @@
 		return err
 	}
 	m.addr = ln.Addr().String()
-	m.srv = grpc.NewServer()
+	m.srv = grpc.NewServer(m.c.options...)
 	etcdserverpb.RegisterKVServer(m.srv, m)
 	etcdserverpb.RegisterWatchServer(m.srv, m)
 	etcdserverpb.RegisterLeaseServer(m.srv, m)
