With etcd, a change of the known list is heard, and a drain is kept at once

Seen by reading the change again, then by tests that fail without: - Discovery's first word may be a change that builds on the configuration's list; the view, which had that under another name, dropped it, and a drain in it was never heard. - The state file was written at most once a second: a relay killed within that, or handing over, could take a drain back at its next start. - A process that had handed its work over wrote the file once more as it ended, over the new one's. Ruled out: relays without [etcd], which run none of it. Lines at fault: members.go, take (Needed was logged alone), run (the last save). Change: the whole list is had at once; a drain or an end is kept in the turn that tells it; nothing is written once the work is another's. Revisions are named by process. core.Member and membership.Member, the same fields twice, are one type.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -29,6 +29,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net"
 	"slices"
 )
 
@@ -53,6 +54,22 @@
 	Size     float64 `json:"size"` // the rate that its destination takes; 0 where that is not told
 }
 
+// Check tells what is wrong with a member.
+func (m *Member) Check() error {
+	switch {
+	case m.ID == "":
+		return errors.New("member without id")
+	case m.Phase != Up && m.Phase != Draining && m.Phase != Removed:
+		return fmt.Errorf("member %s: unknown phase %q", m.ID, m.Phase)
+	case m.Phase == Removed:
+		return nil
+	}
+	if _, _, err := net.SplitHostPort(m.HostPort); err != nil {
+		return fmt.Errorf("member %s: host_port: %w", m.ID, err)
+	}
+	return nil
+}
+
 // rank orders phases: the highest wins.
 func rank(phase string) int {
 	switch phase {
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -88,13 +88,14 @@
 	follow  *registry.Follower
 	life    func()        // a sign of life that brings no news; may be nil
 	turns   int           // addresses watched so far
+	made    int64         // when, in ns
 	first   chan struct{} // closed once the first call was answered, in whatever way
 	once    sync.Once
 }
 
 func newDiscovery(addr string, log *slog.Logger, follow *registry.Follower, news func(*List)) *discovery {
 	d := &discovery{addr: addr, moves: newMailbox[string](), log: log, client: newPlainClient(4),
-		silence: discSilence, most: listMost, news: news, follow: follow, first: make(chan struct{})}
+		silence: discSilence, most: listMost, made: time.Now().UnixNano(), news: news, follow: follow, first: make(chan struct{})}
 	d.client.Transport.(*http.Transport).ResponseHeaderTimeout = 0 // each call has its own
 	return d
 }
@@ -142,8 +143,9 @@
 	d.news(l)
 }
 
-// epoch names what the revisions are of that are heard now. It is for news.
-func (d *discovery) epoch() string { return fmt.Sprintf("%s#%d", d.base, d.turns) }
+// epoch names what the revisions are of that are heard now, in this process alone:
+// what an earlier one knew may not be what its changes build on. It is for news.
+func (d *discovery) epoch() string { return fmt.Sprintf("%s#%d@%d", d.base, d.turns, d.made) }
 
 // giveBack returns to the system, once it has been booked, what a long list took
 // while it was read: nothing else here would have it collected for minutes.
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -263,7 +263,7 @@
 	cross(seamTakenUp)
 	if r.members != nil {
 		r.members.seed(r.core.Learn(r.now()).List())
-		go r.members.run(ctx)
+		go r.members.run(watch)
 		go r.members.help(watch)
 	}
 	r.step()
@@ -362,11 +362,7 @@
 		return err
 	}
 	d.news = func(l *List) {
-		w := &membership.Word{Epoch: d.epoch(), Revision: l.Revision, Whole: l.Complete}
-		for _, x := range l.Members {
-			w.Members = append(w.Members, membership.Member(x))
-		}
-		r.members.put(r.members.registry, w)
+		r.members.put(r.members.registry, &membership.Word{Epoch: d.epoch(), Revision: l.Revision, Whole: l.Complete, Members: l.Members})
 	}
 	d.life = func() { r.members.put(r.members.registry, nil) }
 	r.watched.Store(r.cfg.Discovery)
--- a/internal/relay/members.go
+++ b/internal/relay/members.go
@@ -75,7 +75,9 @@
 	rev            int64  // of discovery's list
 	asked          []bool // of sources: for their whole list
 	askedAt        string // the registry's epoch then
-	dirty          bool
+	neededAt       string // its epoch as a change came that builds on nothing known
+	dirty          bool   // to be kept when its turn comes
+	urgent         bool   // to be kept now: a drain or an end
 	saved          time.Time
 }
 
@@ -114,11 +116,7 @@
 		m.log.Warn("members: set aside, nothing is remembered", "err", err)
 	}
 	if _, _, known := m.view.Known(m.registry); !known {
-		w := &membership.Word{Source: m.registry, Epoch: "before", Revision: list.Revision, Whole: true}
-		for _, x := range list.Members {
-			w.Members = append(w.Members, membership.Member(x))
-		}
-		m.view.Take(m.now(), w)
+		m.view.Take(m.now(), &membership.Word{Source: m.registry, Epoch: "before", Revision: list.Revision, Whole: true, Members: list.Members})
 	}
 	m.rev = list.Revision
 	// The loop is told of what differs: what was draining by etcd's word may be up in
@@ -134,8 +132,8 @@
 		}
 	}
 	for _, x := range m.view.Members() {
-		if have[x.ID] != core.Member(x) {
-			events = append(events, core.Member(x))
+		if have[x.ID] != x {
+			events = append(events, x)
 		}
 	}
 	m.emit(events)
@@ -147,49 +145,45 @@
 	}
 }
 
-// run merges until ctx ends.
+// run merges until ctx ends. What is not kept by then is left: the file may be
+// another process's already.
 func (m *members) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var got []said
-	for {
-		got = m.in.takeAll(got)
-		for i := range got {
-			m.take(&got[i])
-		}
-		clear(got)
-		for {
-			if len(m.step()) == 0 {
-				break
-			}
-			m.dirty = true
-		}
-		for _, n := range m.view.Notes() {
-			m.log.Warn("members: "+n.Text, "source", m.name(n.Source), "endpoint", n.ID, "count", n.Count)
-		}
-		m.ask()
-		wait := time.Hour
-		if at := m.view.Next(); at > 0 {
-			wait = time.Duration(max(at-m.now(), 0)) * time.Microsecond
-		}
-		if m.dirty {
-			if left := membersSave - time.Since(m.saved); left <= 0 {
-				m.save()
-			} else {
-				wait = min(wait, left)
-			}
-		}
-		timer.Reset(wait)
+	for ctx.Err() == nil {
+		timer.Reset(m.turn())
 		select {
 		case <-ctx.Done():
-			m.save()
-			return
 		case <-m.in.ready:
 		case <-timer.C:
 		}
 	}
 }
 
+// turn takes what was said, tells on what has changed, and gives the time until
+// there is more to do. A drain is kept at once, so that a start does not take it back.
+func (m *members) turn() (wait time.Duration) {
+	got := m.in.takeAll(nil)
+	for i := range got {
+		m.take(&got[i])
+	}
+	m.tellOn()
+	for _, n := range m.view.Notes() {
+		m.log.Warn("members: "+n.Text, "source", m.name(n.Source), "endpoint", n.ID, "count", n.Count)
+	}
+	m.ask()
+	wait = time.Hour
+	if left := membersSave - time.Since(m.saved); m.urgent || m.dirty && left <= 0 {
+		m.save()
+	} else if m.dirty {
+		wait = left
+	}
+	if at := m.view.Next(); at > 0 {
+		wait = min(wait, time.Duration(max(at-m.now(), 0))*time.Microsecond)
+	}
+	return wait
+}
+
 func (m *members) name(source int) string {
 	if source == m.etcd {
 		return "etcd"
@@ -200,8 +194,7 @@
 func (m *members) take(s *said) {
 	switch {
 	case s.then != nil:
-		for len(m.step()) > 0 {
-		}
+		m.tellOn()
 		s.then()
 	case s.word == nil:
 		m.view.Heard(m.now(), s.source)
@@ -212,21 +205,34 @@
 			w.Anew = w.Whole && m.asked[s.source] && w.Epoch != m.askedAt
 		}
 		m.dirty = true
-		if v := m.view.Take(m.now(), w); v == membership.Old || v == membership.Needed {
+		v := m.view.Take(m.now(), w)
+		if v == membership.Needed && s.source == m.registry && w.Epoch != m.neededAt {
+			// It follows the list that the loop began with, which the view has from
+			// elsewhere: the whole one is had in its place.
+			m.neededAt = w.Epoch
+			m.again()
+		}
+		if v == membership.Old || v == membership.Needed {
 			m.log.Warn("members: a word is of no use", "source", m.name(s.source), "epoch", w.Epoch, "revision", w.Revision, "verdict", v.String())
 		}
 	}
 }
 
-// step tells on what has changed by now.
-func (m *members) step() []membership.Change {
-	changes := m.view.Step(m.now())
-	all := make([]core.Member, 0, len(changes))
-	for _, c := range changes {
-		all = append(all, core.Member(c.Member))
+// tellOn tells on what has changed by now, in pieces.
+func (m *members) tellOn() {
+	for {
+		changes := m.view.Step(m.now())
+		if len(changes) == 0 {
+			return
+		}
+		m.dirty = true
+		all := make([]core.Member, 0, len(changes))
+		for _, c := range changes {
+			m.urgent = m.urgent || c.Phase != membership.Up
+			all = append(all, c.Member)
+		}
+		m.emit(all)
 	}
-	m.emit(all)
-	return changes
 }
 
 // ask has sources read anew whose loss is not believed, once for each.
@@ -250,7 +256,7 @@
 
 // save keeps what the sources have said, whole or not at all.
 func (m *members) save() {
-	m.dirty, m.saved = false, time.Now()
+	m.dirty, m.urgent, m.saved = false, false, time.Now()
 	text, err := json.Marshal(m.view.Export(m.now()))
 	if err == nil {
 		err = renameio.WriteFile(m.path, text, 0o600)
--- a/internal/relay/members_test.go
+++ b/internal/relay/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -19,6 +20,7 @@
 	"time"
 
 	"troutusher/internal/core"
+	"troutusher/internal/membership"
 	"troutusher/internal/operator"
 	"troutusher/internal/source/etcd"
 	"troutusher/internal/source/etcd/follow"
@@ -256,3 +258,63 @@
 		}
 	}
 }
+
+// What a relay begins with is the list of its configuration, and discovery's first
+// word may be a change of that: a drain in it is not lost with the list that the view
+// does not have.
+func TestAChangeOfTheKnownList(t *testing.T) {
+	gone, stays := newFakeEndpoint(t, nil), newFakeEndpoint(t, nil)
+	c, err := standin.NewCluster(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	drains := gone.member("s-1", 1)
+	drains.Phase = core.Draining
+	disc := newFakeDiscovery(t, drains, stays.member("s-2", 1))
+	disc.list.Revision = 9
+	env := testConfig(t, disc, 3, gone.member("s-1", 1), stays.member("s-2", 1))
+	env["ROUTER_CONSOLE"] = freeAddr(t)
+	withEtcd(t, env, c)
+	startChild(t, env)
+	line, err := json.Marshal(List{Revision: 9, Members: []core.Member{drains}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	disc.say(t, string(line))
+	waitFor(t, "the drain", func() bool { return figures(t, env["ROUTER_CONSOLE"])["cluster_unhealthy"] == 1 })
+}
+
+// A drain is kept in the turn that tells it; what comes up is, in its time; and a
+// process that has given its work away writes no more.
+func TestWhatMembersKeep(t *testing.T) {
+	dir := t.TempDir()
+	told := 0
+	m, err := newMembers(&operator.Etcd{}, dir, quietLog(), func(core.Event) { told++ }, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := func(what string) bool {
+		text, _ := os.ReadFile(filepath.Join(dir, membersFile))
+		return strings.Contains(string(text), what)
+	}
+	m.saved = time.Now()
+	word := func(rev int64, id, phase string) {
+		m.put(m.etcd, &membership.Word{Epoch: "c", Revision: rev, Whole: rev == 1, Members: []core.Member{{ID: id, HostPort: "127.0.0.1:7001", Phase: phase}}})
+	}
+	word(1, "a", core.Up)
+	if wait := m.turn(); told != 1 || kept("a") || wait > membersSave {
+		t.Errorf("one that comes up: told %d times, kept %v, next turn in %v", told, kept("a"), wait)
+	}
+	word(2, "a", core.Draining)
+	if m.turn(); told != 2 || !kept(core.Draining) {
+		t.Errorf("a drain: told %d times, kept %v", told, kept(core.Draining))
+	}
+	word(3, "b", core.Up)
+	m.turn()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if m.run(ctx); kept(`"b"`) {
+		t.Error("written by a process that is over")
+	}
+}
