Review case 2: a kill right after a removal makes a relay forget it

Change: a case in which a relay of 34 endpoints hears of a removal, is killed 0.3 s later while discovery goes down, and starts again with its folder.

--- /dev/null
+++ b/review/standin/case_forget.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+)
+
+// The relay's agent tells it that an endpoint has left. A moment later the relay is killed while
+// discovery goes down; it starts again with its folder. Up to rounds times, each with a fresh folder.
+func init() { cases["killed-after-removal"] = killedAfterRemoval }
+
+const (
+	rounds       = 4
+	partners     = 17 // with two endpoints each: 34, as on the busiest days of the site
+	killAfter    = 300 * time.Millisecond
+	outage       = 8 * time.Second // STANDING, herd+mass: "discovery is down for 8 s"
+	messageEvery = 25 * time.Millisecond
+)
+
+func killedAfterRemoval(w *world) error {
+	var endpoints []*endpoint
+	var members []member
+	for p := 1; p <= partners; p++ {
+		for _, name := range []string{"a", "b"} {
+			behave := serveOK(40 * time.Millisecond)
+			if p == partners {
+				behave = overLimit(40 * time.Millisecond)
+			}
+			e, err := newEndpoint(w.rec, fmt.Sprintf("p%d-%s", p, name), behave)
+			if err != nil {
+				return err
+			}
+			endpoints = append(endpoints, e)
+			members = append(members, e.member(p, "dostava", "up", 20))
+		}
+	}
+	if err := w.startDiscovery(members...); err != nil {
+		return err
+	}
+	if err := w.startRelay(); err != nil {
+		return err
+	}
+	w.traffic(messageEvery, func(i int) submission { return w.termin(1 + i%partners)(i) })
+	for round := range rounds {
+		time.Sleep(9 * time.Second)
+		gone, e := members[2*round], endpoints[2*round]
+		gone.Phase = "removed"
+		w.agent.apply(gone)
+		told := time.Now()
+		time.Sleep(killAfter)
+		if w.trouble {
+			if err := w.killAndRestart(func() { w.agent.setSilent(true) }); err != nil {
+				return err
+			}
+		}
+		time.Sleep(outage)
+		w.agent.setSilent(false)
+		if late, last := callsAfter(e, told.Add(drainGrace+slack)); late > 0 {
+			w.broken("%d calls begun at the removed endpoint %s up to %d ms after the relay was told", late, gone.ID,
+				last.Sub(told).Milliseconds())
+			return nil
+		}
+	}
+	return nil
+}
+
+// overLimit answers "full" to two calls of three, as a partner over its limit.
+func overLimit(after time.Duration) func(*call) answer {
+	var n atomic.Int64
+	return func(*call) answer {
+		if n.Add(1)%3 != 0 {
+			return answer{status: 503}
+		}
+		return answer{status: 200, after: after}
+	}
+}
