--- a/review/standin/relay.go
+++ b/review/standin/relay.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -108,14 +109,17 @@
 	return fmt.Errorf("relay at %s is not ready after %v", address, limit)
 }
 
-// freeAddress returns a free loopback address.
+// freeAddress returns a free loopback address. Its port lies under those that the system gives to outgoing
+// connections: one of these could otherwise take the port while the relay is down.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	const first, count = 12000, 18000
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count)))
+		if err == nil {
+			_ = l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // defaultSettings are the settings of the page WIRE for the site split-kampus, with one zone less to
