Review: scripts name their record, and case 2 has partners with a stated limit

Need: the scripts did not show what they write and read; the partner that refused calls in case 2 did so at any rate; a start found files in its temporary folder.

--- a/review/standin/agent.go
+++ b/review/standin/agent.go
@@ -43,6 +43,7 @@
 	order    []string
 	history  []change
 	silent   bool
+	told     int64 // the latest revision that was written to the relay
 	changed  chan struct{}
 	notices  map[string]notice // the first notice of each message
 	listener net.Listener
@@ -177,6 +178,9 @@
 			_, _ = w.Write(append(text, '\n'))
 			flusher.Flush()
 			from = list.Revision
+			a.mu.Lock()
+			a.told = list.Revision
+			a.mu.Unlock()
 			a.rec.note("discovery %s: told revision %d", a.name, list.Revision)
 		}
 		select {
@@ -219,3 +223,17 @@
 	n, ok := a.notices[id]
 	return n, ok
 }
+
+// applyAndTell applies a change and waits until it has been written to the relay.
+func (a *agent) applyAndTell(m member) error {
+	a.apply(m)
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		a.mu.Lock()
+		told := a.told == a.revision
+		a.mu.Unlock()
+		if told {
+			return nil
+		}
+	}
+	return errorf("the relay's watch has not taken the change")
+}
--- a/review/standin/case_forget.go
+++ b/review/standin/case_forget.go
@@ -3,7 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 )
 
@@ -13,12 +14,18 @@
 
 const (
 	drainGrace   = 2 * time.Second // BRIEF: "nothing new to an endpoint later than 2 s after the relay was told"
-	rounds       = 4
+	rounds       = 5
 	partners     = 17 // with two endpoints each: 34, as on the busiest days of the site
 	killAfter    = 300 * time.Millisecond
 	outage       = 8 * time.Second // STANDING, herd+mass: "discovery is down for 8 s"
 	messageEvery = 25 * time.Millisecond
 
+	// The last partners are over their limit, as on a day of overload: each takes 6 calls a second from the three
+	// relays, of which the others leave a third, and gets 5 messages a second.
+	fullPartners = 4
+	fullRate     = 6.0
+	fullLeft     = 2
+
 	serviceBefore = 8 * time.Second // of ordinary service in each round, and up to serviceMore more
 	serviceMore   = 2 * time.Second
 )
@@ -27,11 +34,12 @@
 	var endpoints []*endpoint
 	var members []member
 	for p := 1; p <= partners; p++ {
+		full := overLimit(fullLeft, 40*time.Millisecond)
 		for _, name := range []string{"a", "b"} {
-			behave := serveOK(40 * time.Millisecond)
+			behave, rate := serveOK(40*time.Millisecond), 20.0
 			switch {
-			case p == partners:
-				behave = overLimit(40 * time.Millisecond)
+			case p > partners-fullPartners:
+				behave, rate = full, fullRate
 			case name == "b":
 				behave = serveOK(200 * time.Millisecond)
 			}
@@ -40,7 +48,7 @@
 				return err
 			}
 			endpoints = append(endpoints, e)
-			members = append(members, e.member(p, "dostava", "up", 20))
+			members = append(members, e.member(p, "dostava", "up", rate))
 		}
 	}
 	if err := w.startDiscovery(members...); err != nil {
@@ -49,12 +57,19 @@
 	if err := w.startRelay(); err != nil {
 		return err
 	}
-	w.traffic(messageEvery, func(i int) submission { return w.termin(1 + i%partners)(i) })
+	w.traffic(messageEvery, func(i int) submission {
+		if i%2 == 0 {
+			return w.termin(partners - i/2%fullPartners)(i)
+		}
+		return w.termin(1 + i/2%(partners-fullPartners))(i)
+	})
 	for round := range rounds {
 		time.Sleep(serviceBefore + rand.N(serviceMore)) // no moment of the relay's own is aimed at
 		gone, e := members[2*round], endpoints[2*round]
 		gone.Phase = "removed"
-		w.agent.apply(gone)
+		if err := w.agent.applyAndTell(gone); err != nil {
+			return err
+		}
 		told := time.Now()
 		time.Sleep(killAfter)
 		if w.trouble {
@@ -74,13 +89,19 @@
 	return nil
 }
 
-// overLimit answers "full" to two calls of three, as a partner over its limit.
-func overLimit(after time.Duration) func(*call) answer {
-	var n atomic.Int64
-	return func(*call) answer {
-		if n.Add(1)%3 != 0 {
+// overLimit serves at most perSecond calls in any second, at all endpoints of a partner together, and
+// answers "full" to the others: what the other relays leave of the partner's rate.
+func overLimit(perSecond int, after time.Duration) func(*call) answer {
+	var mu sync.Mutex
+	var served []time.Time
+	return func(c *call) answer {
+		mu.Lock()
+		defer mu.Unlock()
+		served = slices.DeleteFunc(served, func(at time.Time) bool { return c.lastByte.Sub(at) >= time.Second })
+		if len(served) >= perSecond {
 			return answer{status: 503}
 		}
+		served = append(served, c.lastByte)
 		return answer{status: 200, after: after}
 	}
 }
--- a/review/standin/case_move.go
+++ b/review/standin/case_move.go
@@ -39,7 +39,9 @@
 	w.rec.note("discovery: endpoint %s drains; the agents get it later", draining.ID)
 	changed := time.Now()
 	time.Sleep(time.Until(changed.Add(firstAgentLate)))
-	w.agent.apply(draining)
+	if err := w.agent.applyAndTell(draining); err != nil {
+		return err
+	}
 	told := time.Now()
 	if w.trouble {
 		time.Sleep(moveAfterTold)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -18,24 +20,31 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Println("usage: standin CASE FOLDER")
+		fmt.Println("usage: standin CASE RECORD")
 		os.Exit(exitCannotRun)
 	}
 	os.Exit(play(cases[os.Args[1]], os.Args[2]))
 }
 
-func play(run func(w *world) error, dir string) (code int) {
-	w, err := newWorld(dir)
+func play(run func(w *world) error, record string) (code int) {
+	w, err := newWorld(record)
 	if err != nil {
 		fmt.Println("cannot run:", err)
 		return exitCannotRun
 	}
 	defer w.close()
-	time.AfterFunc(longestCase, func() {
-		fmt.Println("cannot run: out of time")
+	giveUp := func(why string) {
+		fmt.Println("cannot run:", why)
 		w.endProcesses()
 		os.Exit(exitCannotRun)
-	})
+	}
+	time.AfterFunc(longestCase, func() { giveUp("out of time") })
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-stop
+		giveUp("stopped")
+	}()
 	err = run(w)
 	if err == nil {
 		err = w.failure
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -3,12 +3,11 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 )
 
-// recorder writes record.txt: one line for each thing that was sent, answered or run, with the
+// recorder writes the record of a case: one line for each thing that was sent, answered or run, with the
 // time in milliseconds since the start of the case.
 type recorder struct {
 	mu    sync.Mutex
@@ -16,8 +15,8 @@
 	start time.Time
 }
 
-func newRecorder(dir string) (*recorder, error) {
-	file, err := os.Create(filepath.Join(dir, "record.txt"))
+func newRecorder(path string) (*recorder, error) {
+	file, err := os.Create(path)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/relay.go
+++ b/review/standin/relay.go
@@ -35,7 +35,7 @@
 func (s *relaySettings) writeConfig() error {
 	text, err := json.MarshalIndent(map[string]any{
 		"name": "n1", "listen": s.listen, "discovery": s.discovery, "console": s.console,
-		"state": filepath.Join(s.folder, "state"), "seed": newID(),
+		"state": s.stateFolder(), "seed": newID(),
 		"limits": s.limits, "known": s.known, "settings": s.settings,
 	}, "", " ")
 	if err != nil {
@@ -48,10 +48,15 @@
 	return os.Rename(path+".new", path)
 }
 
+func (s *relaySettings) stateFolder() string { return filepath.Join(s.folder, "state") }
+func (s *relaySettings) tempFolder() string  { return filepath.Join(s.folder, "tmp") }
+
 // startRelay starts the command run of deploy/balancer.toml. log is the file for its log.
 func startRelay(s *relaySettings, log string) (*relayProcess, error) {
-	if err := os.MkdirAll(filepath.Join(s.folder, "state"), 0o700); err != nil {
-		return nil, err
+	for _, folder := range []string{s.stateFolder(), s.tempFolder()} {
+		if err := os.MkdirAll(folder, 0o700); err != nil {
+			return nil, err
+		}
 	}
 	if err := s.writeConfig(); err != nil {
 		return nil, err
@@ -66,7 +71,7 @@
 	cmd.Env = append(os.Environ(),
 		"ROUTER_CONFIG="+s.configPath(), "ROUTER_NAME=n1", "ROUTER_LISTEN="+s.listen,
 		"ROUTER_DISCOVERY="+s.discovery, "ROUTER_CONSOLE="+s.console,
-		"ROUTER_STATE="+filepath.Join(s.folder, "state"), "TMPDIR="+s.folder)
+		"ROUTER_STATE="+s.stateFolder(), "TMPDIR="+s.tempFolder())
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -35,15 +35,16 @@
 	err    error
 }
 
-func newWorld(dir string) (*world, error) {
-	rec, err := newRecorder(dir)
+func newWorld(record string) (*world, error) {
+	rec, err := newRecorder(record)
 	if err != nil {
 		return nil, err
 	}
-	root, err := filepath.Abs(filepath.Join(dir, "..", ".."))
+	program, err := os.Executable() // review/bin/standin
 	if err != nil {
 		return nil, err
 	}
+	root := filepath.Dir(filepath.Dir(filepath.Dir(program)))
 	folder, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
@@ -68,6 +69,10 @@
 
 // startRelay starts the relay and waits until it serves.
 func (w *world) startRelay() error {
+	// A start finds an empty $TMPDIR; the two processes of an upgrade share it.
+	if err := os.RemoveAll(w.relay.tempFolder()); err != nil {
+		return err
+	}
 	p, err := startRelay(&w.relay, "relay.log")
 	if err != nil {
 		return err
