--- a/internal/core/effects_test.go
+++ b/internal/core/effects_test.go
@@ -1,13 +1,8 @@
 package core
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
-	"testing"
-
-	"troutusher/policy"
 )
 
 // renderRecord returns the record that an effect appends, in the JSON form of the log.
@@ -70,51 +65,3 @@
 	}
 	return "unknown"
 }
-
-// goldenRuns are the simulated runs whose effects are recorded.
-var goldenRuns = []struct {
-	name string
-	play func(t *testing.T, seed uint64, golden io.Writer)
-}{
-	{"plain", func(t *testing.T, seed uint64, golden io.Writer) {
-		sim := newSimulation(t, seed)
-		sim.golden = golden
-		sim.run(300)
-	}},
-	{"deferred", func(t *testing.T, seed uint64, golden io.Writer) {
-		sim := newSimulation(t, seed)
-		sim.golden = golden
-		sim.core.DeferSends()
-		sim.run(60)
-		sim.execute(sim.core.Step(sim.now, []Event{Started{}}, nil))
-		sim.runFrom(60, 100)
-		sim.execute(sim.core.Step(sim.now, []Event{ShutdownRequested{}}, nil))
-		sim.runFrom(160, 100)
-	}},
-	{"handover", func(t *testing.T, seed uint64, golden io.Writer) {
-		sim := newSimulation(t, seed)
-		sim.golden = golden
-		log := newLogModel()
-		sim.logModel = log
-		for turn := range 3 {
-			sim.runFrom(turn*60, 60)
-			sim.handOver(log, policy.Time(sim.rng.Int64N(2e9))-1e9)
-		}
-	}},
-	{"passive", func(t *testing.T, seed uint64, golden io.Writer) {
-		sim := newPassiveSimulation(t, seed)
-		sim.golden = golden
-		for turn := range 3 {
-			sim.runFrom(turn*100, 100)
-			sim.handOverWithDriver(sim.logModel)
-		}
-	}},
-}
-
-// lineCounter is a writer that counts lines.
-type lineCounter struct{ lines int }
-
-func (c *lineCounter) Write(b []byte) (int, error) {
-	c.lines += bytes.Count(b, []byte("\n"))
-	return len(b), nil
-}
