Review case 8: with etcd, a restart undoes a drain in the configuration's list

A relay that also follows etcd takes the registry's list from its file `members` at a start, and so undoes a drain that the configuration's newer list has; its watch starts after that drain.

The case uses the project's etcd stand-in, as a program with a build tag.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,3 +5,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
 (cd review/standin2 && go build -o ../bin/standin2 .)
+go build -tags review -o review/bin/etcd2 ./review/etcd2
