--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -13,6 +13,7 @@
 
 // cases maps the name of a case to its function, which reports whether the rule was broken.
 var cases = map[string]func(w *world) bool{
+	"watch":   caseWatch,
 	"cold":    caseCold,
 	"restart": caseRestart,
 	"upgrade": caseUpgrade,
