--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,6 +17,7 @@
 	"cold":    caseCold,
 	"restart": caseRestart,
 	"upgrade": caseUpgrade,
+	"slow":    caseSlow,
 }
 
 // limit bounds the time of a case.
