--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -14,6 +14,8 @@
 // cases maps the name of a case to its function, which reports whether the rule was broken.
 var cases = map[string]func(w *world) bool{
 	"watch":   caseWatch,
+	"key":     caseKey,
+	"crowd":   caseCrowd,
 	"copy":    caseCopy,
 	"cold":    caseCold,
 	"restart": caseRestart,
