--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -83,14 +84,27 @@
 	}
 }
 
-// freeAddr returns an address of the loopback interface whose port is free now.
+// freeAddr returns an address of the loopback interface whose port is free now. The port lies below those that the
+// system gives to outgoing connections, so that none of these takes it while no process listens there.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer l.Close()
-	return l.Addr().String()
+	for range 200 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000)))
+		if err != nil {
+			continue
+		}
+		addr := l.Addr().String()
+		must(l.Close())
+		if !givenAddrs[addr] {
+			givenAddrs[addr] = true
+			return addr
+		}
+	}
+	panic(cannotRun{"no free port"})
 }
 
+// givenAddrs are the results of freeAddr, which only the goroutine of the case calls.
+var givenAddrs = map[string]bool{}
+
 // cannotRun is the panic of a case that could not run.
 type cannotRun struct{ reason string }
 
