Upstream: a copy of an answer does not count when its endpoint falls silent behind it

Cause: a second copy of a 200 crosses the next call on its connection and is read as its answer; the relay waits for another response, and if none comes it counts the first. An endpoint that has gone silent sends none. Calls prefer settled connections; messages that must not be repeated, and calls to an endpoint in doubt, use only these or new ones (not while it warms up: TestWarmingUpConnectsOneAtATime, unchanged, had 30 handshakes in place of 20). Why it works: a copy crosses only if it was sent before the call came, so it takes a round trip at most, an answer more.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -99,6 +99,7 @@
 		return
 	}
 	endpoint.pool.closeUnconfirmed(request.ID)
+	c.connRequest.repeatable = request.Repeatable
 	conn, outcome, err := c.send(ctx, endpoint, text)
 	if err != nil {
 		report(c.unsentResult(outcome, err, start))
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -29,6 +29,7 @@
 	repeatable       bool      // the message may be sent again although it may have run
 	status           int       // status code; 0 if no response was read yet
 	unconfirmedUntil time.Time // until then the response may turn out to be a copy; see copy.go
+	settledAt        time.Time // a copy of the response may arrive before; zero if no response was read yet
 
 	idleSince  time.Time
 	reusableAt time.Time // an idle connection may not carry a call before
--- a/internal/upstream/copy_test.go
+++ b/internal/upstream/copy_test.go
@@ -149,6 +149,80 @@
 	}
 }
 
+// silentAfterCopy is an endpoint that answers two calls on each connection, the second one more slowly.
+// When the next call has come, it writes the last response again and then falls silent.
+func silentAfterCopy(t *testing.T, tr *transport) *Endpoint {
+	t.Helper()
+	return tr.open(testPool(t), tr.serve(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for n := range 2 {
+			if !upstreamtest.ReadRequest(reader) {
+				return
+			}
+			time.Sleep(time.Duration(n+1) * answerDelay)
+			respond(conn, upstreamtest.OKResponse)
+		}
+		if upstreamtest.ReadRequest(reader) {
+			respond(conn, upstreamtest.OKResponse)
+		}
+		waitClosed(reader)
+	}))
+}
+
+// Guards against forgetting a message that was never answered: its endpoint falls silent behind a copy
+// of an earlier answer, so that nothing follows the copy.
+func TestCopyBeforeSilence(t *testing.T) {
+	forEachTransport(t, func(t *testing.T, tr *transport) {
+		endpoint := silentAfterCopy(t, tr)
+		for n := range 2 {
+			result := callOnce(t, endpoint, Request{ID: fmt.Sprint(n)})
+			if result.Outcome != policy.Delivered {
+				t.Fatalf("call %d: got %+v, want outcome Delivered", n, result)
+			}
+			waitIdle(endpoint, n == 0)
+		}
+		result := callOnce(t, endpoint, Request{ID: "c", Repeatable: true})
+		if result.Outcome != policy.ConnectionReset {
+			t.Errorf("call behind which the endpoint fell silent: got %+v, want outcome ConnectionReset", result)
+		}
+	})
+}
+
+// Guards a message that must not be sent again against an answer in doubt: it gets a connection of its
+// own while a copy of the last answer may be on its way. Other messages share connections.
+func TestNoCopyBeforeUnrepeatableMessage(t *testing.T) {
+	forEachTransport(t, func(t *testing.T, tr *transport) {
+		endpoint := silentAfterCopy(t, tr)
+		callOnce(t, endpoint, Request{ID: "a"})
+		waitIdle(endpoint, true)
+		callOnce(t, endpoint, Request{ID: "b"})
+		waitIdle(endpoint, false)
+		if result := callOnce(t, endpoint, Request{ID: "c"}); result.Outcome != policy.Delivered {
+			t.Errorf("call behind an answer: got %+v, want outcome Delivered", result)
+		}
+		if open, _ := endpoint.pool.counts(); open != 2 {
+			t.Errorf("connections after a call behind an answer = %d, want 2", open)
+		}
+	})
+}
+
+// Guards the choice of a connection: one that is settled is used before one that carried a call just now.
+func TestSettledConnectionIsPreferred(t *testing.T) {
+	endpoint := openPlain(testPool(t), newCountingEndpoint(t, http.StatusOK).address)
+	for id := range 2 { // each opens a connection
+		callOnce(t, endpoint, Request{ID: fmt.Sprint(id)})
+	}
+	waitIdle(endpoint, true)
+	callOnce(t, endpoint, Request{ID: "b", Repeatable: true})
+	waitIdle(endpoint, false)
+	endpoint.pool.mu.Lock()
+	defer endpoint.pool.mu.Unlock()
+	index, _ := endpoint.chooseIdleLocked(false, time.Now())
+	if index != 0 || len(endpoint.pool.idle) != 2 {
+		t.Errorf("chosen connection = %d of %d, want 0 of 2: the one that is settled", index, len(endpoint.pool.idle))
+	}
+}
+
 // Guards the calls after one whose answer came before the copy: the copy arrives while the connection is
 // idle or carries the next call.
 func TestCopyAfterTheAnswer(t *testing.T) {
--- a/internal/upstream/endpoint.go
+++ b/internal/upstream/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"troutusher/internal/sendgate"
@@ -57,7 +58,7 @@
 	if e.peer != nil {
 		return e.acquireTLS(ctx, request)
 	}
-	conn, err := e.takeIdleOrReserve()
+	conn, err := e.takeIdleOrReserve(request)
 	if conn != nil || err != nil {
 		return conn, err
 	}
@@ -71,46 +72,66 @@
 
 // takeIdleOrReserve returns a usable idle connection. If there is none, it returns nil and
 // reserves a connection that the caller must open or unreserve.
-func (e *Endpoint) takeIdleOrReserve() (*poolConn, error) {
+func (e *Endpoint) takeIdleOrReserve(request *connRequest) (*poolConn, error) {
 	e.pool.mu.Lock()
 	defer e.pool.mu.Unlock()
-	conn, _, _ := e.takeIdleLocked(time.Now())
+	conn, _, _ := e.takeIdleLocked(request, time.Now())
 	if conn == nil && !e.pool.reserveLocked() {
 		return nil, errPoolFull
 	}
 	return conn, nil
 }
 
-// takeIdleLocked returns the most recently used idle connection that can be reused, and
-// closes the idle connections that it finds broken or expired on the way. Connections that rest
-// after a response cannot be reused yet; see restAfterResponse. If it returns no connection,
-// usableAt is when the first of them can be reused; zero if there is no such connection.
-// unusable is the number of closed connections that broke before any call had used them. The
-// caller must hold the pool's lock.
-func (e *Endpoint) takeIdleLocked(now time.Time) (conn *poolConn, usableAt time.Time, unusable int) {
+// takeIdleLocked returns an idle connection that the call may use, and closes the idle connections that
+// it finds broken or expired on the way. If there is none, usableAt is when the first of the resting
+// connections can be used; zero if there is no such connection. unusable is the number of closed
+// connections that broke before any call had used them. The caller must hold the pool's lock.
+func (e *Endpoint) takeIdleLocked(
+	request *connRequest,
+	now time.Time,
+) (conn *poolConn, usableAt time.Time, unusable int) {
 	p := e.pool
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		c := p.idle[i]
-		if c.endpoint != e {
-			continue
-		}
-		if now.Before(c.reusableAt) {
-			if usableAt.IsZero() || c.reusableAt.Before(usableAt) {
-				usableAt = c.reusableAt
-			}
-			continue
+	needsSettled := e.needsSettled(request, now)
+	for {
+		i, firstUsableAt := e.chooseIdleLocked(needsSettled, now)
+		if i < 0 {
+			return nil, firstUsableAt, unusable
 		}
+		c := p.idle[i]
 		p.idle = append(p.idle[:i], p.idle[i+1:]...)
 		if !p.expired(c, now) && !c.mayCarryCopy(now) && c.reusable() {
 			c.unused = false
-			return c, usableAt, unusable
+			return c, time.Time{}, unusable
 		}
 		if c.brokeUnused() {
 			unusable++
 		}
 		p.closeLocked(c)
 	}
-	return nil, usableAt, unusable
+}
+
+// chooseIdleLocked returns the index of the endpoint's best idle connection: the most recently used one
+// of those that are settled, or else the one that will be settled first; see copy.go. If none can be
+// used yet, the index is negative, and usableAt is as for takeIdleLocked. The caller must hold the
+// pool's lock.
+func (e *Endpoint) chooseIdleLocked(needsSettled bool, now time.Time) (index int, usableAt time.Time) {
+	index = -1
+	for i, c := range slices.Backward(e.pool.idle) { // the most recently used connection first
+		if c.endpoint != e {
+			continue
+		}
+		switch at := c.usableAt(needsSettled); {
+		case now.Before(at):
+			if usableAt.IsZero() || at.Before(usableAt) {
+				usableAt = at
+			}
+		case c.settled(now):
+			return i, time.Time{}
+		default:
+			index = i
+		}
+	}
+	return index, usableAt
 }
 
 // notifyWaiters wakes up the calls that wait for a connection, so that they check the
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -40,7 +40,7 @@
 		return Result{Outcome: policy.NotSent, Err: err}
 	}
 	defer permit.Release()
-	conn, err := e.acquire(ctx, &connRequest{warmingUp: true, mayConnect: true})
+	conn, err := e.acquire(ctx, &connRequest{repeatable: true, warmingUp: true, mayConnect: true})
 	if reason := permit.StopReason(); err != nil && (reason != nil || notAttempted(err)) {
 		return Result{Outcome: policy.NotSent, Err: cmp.Or(reason, err)}
 	}
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -99,13 +99,17 @@
 	return results, ended
 }
 
-// waitReusable waits until every idle connection may carry another call.
-func waitReusable(endpoint *Endpoint) {
+// waitReusable waits until every idle connection may carry another call of any message.
+func waitReusable(endpoint *Endpoint) { waitIdle(endpoint, true) }
+
+// waitIdle waits until every idle connection may carry another call, which may or may not need a settled
+// connection.
+func waitIdle(endpoint *Endpoint, needsSettled bool) {
 	for {
 		endpoint.pool.mu.Lock()
 		ready := true
 		for _, c := range endpoint.pool.idle {
-			ready = ready && !time.Now().Before(c.reusableAt)
+			ready = ready && !time.Now().Before(c.usableAt(needsSettled))
 		}
 		endpoint.pool.mu.Unlock()
 		if ready {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -41,13 +41,13 @@
 		report(*failure)
 		return false
 	}
-	confirmBy := c.confirmBy(status)
-	if !confirmBy.IsZero() && (status == http.StatusOK || !c.repeatable) {
-		return c.readConfirmed(confirmBy, timer, status, req, loadFields, report)
+	verdict := c.judge(status)
+	if !verdict.ConfirmBy.IsZero() && (status == http.StatusOK || !c.repeatable) {
+		return c.readConfirmed(verdict, timer, status, req, loadFields, report)
 	}
-	c.unconfirmedUntil = confirmBy
+	c.unconfirmedUntil = verdict.ConfirmBy
 	if status == http.StatusOK {
-		c.endpoint.times.add(time.Since(c.sentAt))
+		c.endpoint.times.add(time.Since(c.sentAt), c.status == 0)
 	}
 	return c.readFinal(status, req, loadFields, report)
 }
@@ -73,7 +73,7 @@
 // readFinal reads the rest of a response whose status line has been peeked at, and reports its
 // result. keep is as for readAnswer.
 func (c *poolConn) readFinal(status int, req *http.Request, loadFields []string, report func(Result)) (keep bool) {
-	c.status = status
+	c.responseArrived(status)
 	if status == http.StatusOK {
 		report(Result{Outcome: policy.Delivered, Final: true, Status: status})
 	}
--- a/internal/upstream/tlswait.go
+++ b/internal/upstream/tlswait.go
@@ -17,12 +17,13 @@
 	noRetry = time.Hour
 )
 
-// connRequest describes what a call may do to get a TLS connection, and counts the
+// connRequest describes what a call may do to get a connection, and counts the TLS
 // connections that were opened for it.
 type connRequest struct {
+	repeatable bool // the message may be sent again although it may have run
 	warmingUp  bool // the endpoint is warming up; see [CallOptions]
-	mayConnect bool // the policy has charged the endpoint's rate for a handshake of this call
-	opened     int  // number of connections opened
+	mayConnect bool // only with TLS: the policy has charged the endpoint's rate for a handshake of this call
+	opened     int  // number of TLS connections opened
 }
 
 // errConnectNotAllowed is the error of a call that may not open a connection and found no
@@ -129,7 +130,7 @@
 		return view, sendgate.ErrEndpointDraining
 	}
 	var unusable int
-	view.conn, view.usableAt, unusable = e.takeIdleLocked(view.at)
+	view.conn, view.usableAt, unusable = e.takeIdleLocked(w.request, view.at)
 	w.unusable += unusable
 	if view.conn != nil { // no longer a waiter, so that no connection is opened for this call
 		w.leaveLocked()
