Relay: an upgrade applies the configuration's endpoint list if it is newer

Cause: its watch starts from that list's revision, but recoverHandover takes the old process's list alone; if the old process had missed a change, the new one never hears of it. Change: a configured list that is newer than the old process's is applied, on the same discovery address. On another address revisions can't be compared, and the complete list is fetched. Why it works: the watch now continues from a list that the process has. New TestUpgradeAppliesNewerConfiguredList: without the first change messages went to the draining endpoint, without the second the drain was never heard.

--- a/internal/relay/firstlist.go
+++ b/internal/relay/firstlist.go
@@ -49,6 +49,17 @@
 	return lists
 }
 
+// newerConfiguredList returns the endpoint list in the configuration if it is newer than the one that
+// the predecessor used. This process watches for changes after the configured list, so it would never
+// hear of those that lie between the two. Revisions of different discovery addresses can't be compared.
+func (r *Relay) newerConfiguredList(inherited *transfer.Inherited) []core.EndpointListUpdated {
+	known := r.cfg.KnownList
+	if known == nil || known.Revision <= r.core.ListRevision() || inherited.DiscoveryAddr != r.discoveryAddr {
+		return nil
+	}
+	return r.configuredList()
+}
+
 // awaitFirstList allows calls once the first response of discovery shows which list is
 // current, or after firstListTimeout. Until then nothing is sent, since the known list
 // may be old and must not direct messages to an endpoint that has started to drain since.
@@ -113,8 +124,9 @@
 // dropStaleLists drops the lists that are older than the one that the predecessor used,
 // so that endpoints that have started to drain since are not marked as up again. This
 // applies only if both processes use the same discovery address, since revisions of
-// different addresses can't be compared. If it drops a list it requests a complete one,
-// in case the registry has restarted with lower revisions.
+// different addresses can't be compared. If it drops a list, it requests a complete one,
+// in case the registry has restarted with lower revisions; it also does so if the addresses
+// differ.
 func (r *Relay) dropStaleLists(
 	lists []core.EndpointListUpdated,
 	inherited *transfer.Inherited,
@@ -123,6 +135,7 @@
 		if inherited.ReloadRequested {
 			return nil // a reload moved the predecessor to its address, and will move this process
 		}
+		r.discovery.Resync() // the lists are changes to one that only discovery at this address has
 		return lists
 	}
 	received := len(lists)
@@ -138,8 +151,7 @@
 // collectFirstLists waits for the first lists of discovery, at most for
 // firstListTimeout. It is called before the event loop runs: in a process that is about
 // to take over while its predecessor still serves, and in one that has no known list.
-// The result doesn't include the list in the configuration: if there is a predecessor,
-// its list is newer.
+// The result doesn't include the list in the configuration.
 func (r *Relay) collectFirstLists() (lists []core.EndpointListUpdated) {
 	timeout := time.NewTimer(firstListTimeout)
 	defer timeout.Stop()
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -420,3 +420,45 @@
 		}
 	}
 }
+
+// Guards against sending to an endpoint for good that drains in the configuration's endpoint list: the
+// predecessor had missed the drain, or was told by discovery at another address, and the successor's watch
+// begins after the configuration's revision.
+func TestUpgradeAppliesNewerConfiguredList(t *testing.T) {
+	for _, sameAddress := range []bool{true, false} {
+		t.Run(fmt.Sprintf("same address: %v", sameAddress), func(t *testing.T) {
+			draining, remaining := newFakeEndpoint(t, nil), newFakeEndpoint(t, nil)
+			drainingMember, remainingMember := draining.member("s-1", 1), remaining.member("s-2", 1)
+			discovery := newFakeDiscovery(t)
+			env := testConfig(t, discovery, 3, drainingMember, remainingMember)
+			predecessor := startAndWait(t, env)
+			drainingMember.Phase = core.Draining
+			members := []core.Member{drainingMember, remainingMember}
+			list := core.EndpointList{Revision: 9, Complete: true, Members: members}
+			if !sameAddress {
+				discovery = newFakeDiscovery(t)
+				predecessor.env["ROUTER_DISCOVERY"] = discovery.Addr()
+			}
+			discovery.Update(func(d *fakeDiscovery) { d.List = list })
+			setKnownList(t, env, &list)
+			successor := upgrade(t, predecessor)
+			waitFor(t, "the successor to watch the list", func() bool { return watchedFrom(discovery) == "9" })
+			if !sameAddress {
+				waitFor(t, "the complete list of the other address", func() bool {
+					return readStats(t, successor.console())["cluster_unhealthy"] == 1
+				})
+			}
+			checkDrainKept(t, env, draining, remaining)
+		})
+	}
+}
+
+// watchedFrom returns the revision after which the newest watch asked for changes.
+func watchedFrom(discovery *fakeDiscovery) (revision string) {
+	discovery.Update(func(d *fakeDiscovery) {
+		if len(d.WatchedFrom) > 0 {
+			revision = d.WatchedFrom[len(d.WatchedFrom)-1]
+		}
+	})
+	return revision
+}
--- a/internal/relay/helpers_test.go
+++ b/internal/relay/helpers_test.go
@@ -102,6 +102,23 @@
 	}
 }
 
+// setKnownList replaces the endpoint list in the configuration file.
+func setKnownList(t *testing.T, env map[string]string, list *core.EndpointList) {
+	t.Helper()
+	rewriteConfig(t, env, func(text string) string {
+		var cfg map[string]any
+		if err := json.Unmarshal([]byte(text), &cfg); err != nil {
+			t.Fatal(err)
+		}
+		cfg["known"] = list
+		changed, err := json.Marshal(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(changed)
+	})
+}
+
 // replaceDiscovery returns a change for rewriteConfig: it replaces the discovery address from by
 // that of d.
 func replaceDiscovery(d *fakeDiscovery, from string) func(string) string {
--- a/internal/relay/startup.go
+++ b/internal/relay/startup.go
@@ -314,6 +314,7 @@
 	s.execute(s.core.RecoverMessages(s.now(), s.recovered, s.inherited.Core, clockShift, s.effects[:0]))
 	s.trackInheritedEndpoints()
 	lists := s.firstLists()
+	s.observe(s.newerConfiguredList(s.inherited))
 	s.observe(s.dropStaleLists(lists, s.inherited))
 	s.lifecycle.inheritDrain(s.inherited.Draining)
 	if s.inherited.ReloadRequested {
