Policy: the timers of messages that have finished are removed

Cause: each message has a timer for its deadline, whose function refers to it, so a rejected message stays in memory for its whole time, up to 12 s and more. Change: a timer knows the message that it is for; when about half of the timers belong to finished messages, and at least 256, these are removed. Why it works: such a timer has no effect; the order of the others is theirs by time and insertion, so the decisions stay. New TestFinishedMessagesDoNotAccumulate: 20,000 timers before, at most 768 allowed; TestRemovedTimersLeaveTheOthers.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -32,7 +32,7 @@
 	message.recoveredUntried = event.Recovered && event.Attempts == 0
 	e.messages[message.id] = message
 	e.pending.add(message)
-	e.timers.add(message.deadline-e.deadlineMargin(), func() { e.reevaluate(message) })
+	e.reevaluateAt(message.deadline-e.deadlineMargin(), message)
 	if event.Recovered {
 		e.limitRecovered(message.destination)
 	}
--- a/policy/connection.go
+++ b/policy/connection.go
@@ -84,7 +84,7 @@
 	left := endpoint.idleSince + e.idleTimeout(endpoint) - e.now
 	endpoint.idleCheckScheduled = endpoint.callsInFlight == 0 && left > 0
 	if endpoint.idleCheckScheduled { // checked more often than that: the timeout may get shorter
-		e.timers.add(e.now+min(left, e.settings.IdleTimeout/8+1), func() { e.closeIdleConnections(endpoint) })
+		e.callAt(e.now+min(left, e.settings.IdleTimeout/8+1), func() { e.closeIdleConnections(endpoint) })
 	} else if endpoint.callsInFlight == 0 {
 		endpoint.connections = 0
 		e.emit(Action{Kind: ActCloseIdle, Endpoint: endpoint.id})
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -72,7 +72,7 @@
 	mustWait := limiter.destination.kind.IndependentRoutes && limiter.retryAfterUntil > e.now
 	known := e.endpoints[removed.id] == removed
 	if known && mustWait {
-		e.timers.add(limiter.retryAfterUntil, func() {
+		e.callAt(limiter.retryAfterUntil, func() {
 			if e.endpoints[removed.id] == removed && removed.state == Gone {
 				e.removeEndpoint(removed)
 			}
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -65,7 +65,7 @@
 	for i := range events {
 		e.handle(&events[i])
 	}
-	runDue(&e.timers, e.now)
+	e.runTimers()
 	e.shedLoad()
 	e.dispatch()
 	e.scheduleTimer()
@@ -108,6 +108,13 @@
 	}
 }
 
+// runTimers calls the functions that are due, including those that they add.
+func (e *Engine) runTimers() {
+	for due, ok := e.timers.popDue(e.now); ok; due, ok = e.timers.popDue(e.now) {
+		due.run()
+	}
+}
+
 // scheduleTimer requests a timer for the next time at which a decision may change without an event, unless the timer
 // that was requested last fires early enough.
 func (e *Engine) scheduleTimer() {
--- a/policy/message.go
+++ b/policy/message.go
@@ -61,13 +61,35 @@
 		e.markDirty(queue.first().destination)
 		return
 	}
-	e.timers.add(queue.backoffUntil, func() {
+	e.callAt(queue.backoffUntil, func() {
 		if len(queue.messages) == 0 && queue.backoffUntil <= e.now {
 			delete(e.orderedQueues, left.key)
 		}
 	})
 }
 
+// callAt calls a function at the given time.
+func (e *Engine) callAt(at Time, run func()) { e.timers.add(at, timer{run: run}) }
+
+// reevaluateAt reevaluates a message at the given time, unless it has finished by then.
+func (e *Engine) reevaluateAt(at Time, message *message) {
+	e.timers.add(at, timer{func() { e.reevaluate(message) }, message})
+}
+
+// minTimersToRemove is the number of finished messages below which their timers are left to expire.
+const minTimersToRemove = 256
+
+// removeFinishedTimers removes the timers of finished messages when they make up about half of all. A
+// relay may reject many messages long before their deadlines, and each would stay in memory until then.
+func (e *Engine) removeFinishedTimers() {
+	e.finishedMessages++
+	if e.finishedMessages < max(minTimersToRemove, len(e.timers.items)/2) {
+		return
+	}
+	e.finishedMessages = 0
+	e.timers.removeFunc(func(t timer) bool { return t.message != nil && t.message.finished })
+}
+
 // finishMessage ends a message that needs no further answer. It stays known while its attempt is in flight.
 func (e *Engine) finishMessage(message *message) {
 	if message.finished {
@@ -82,6 +104,7 @@
 	if message.call == nil {
 		e.forgetMessage(message)
 	}
+	e.removeFinishedTimers()
 }
 
 // forgetMessage removes a finished message that has no attempt in flight.
@@ -105,7 +128,7 @@
 func (e *Engine) restoreAttemptHistory(message *message, event *Event) {
 	message.attempts = event.Attempts
 	if message.attempts > 0 {
-		e.timers.add(e.now, func() { e.reevaluate(message) })
+		e.reevaluateAt(e.now, message)
 	}
 	if event.FirstUncertainAt > 0 {
 		e.recordUncertainAttempt(message, event.FirstUncertainAt, event.FirstUncertainZone)
@@ -121,7 +144,7 @@
 	e.messagesInFlight++
 	e.countCall(restored.destination, endpoint)
 	if e.settings.Cancellation {
-		e.timers.add(e.now, func() { e.cancelOverdueCall(call) })
+		e.callAt(e.now, func() { e.cancelOverdueCall(call) })
 	}
 }
 
--- a/policy/ordering.go
+++ b/policy/ordering.go
@@ -153,7 +153,7 @@
 	pendingTimerSuffices := destination.wakeAt > e.now && destination.wakeAt <= next
 	if next < math.MaxInt64 && !pendingTimerSuffices {
 		destination.wakeAt = max(next, e.now+e.settings.TickInterval)
-		e.timers.add(destination.wakeAt, func() { e.markDirty(destination) })
+		e.callAt(destination.wakeAt, func() { e.markDirty(destination) })
 	}
 }
 
--- a/policy/outcome.go
+++ b/policy/outcome.go
@@ -54,7 +54,7 @@
 		e.finishMessage(message)
 	default:
 		message.destination.queue = append(message.destination.queue, message)
-		e.timers.add(e.now, func() { e.reevaluate(message) })
+		e.reevaluateAt(e.now, message)
 	}
 }
 
--- a/policy/ratelimit_test.go
+++ b/policy/ratelimit_test.go
@@ -152,3 +152,41 @@
 		t.Errorf("engine holds %d items after 3000 rounds and %d after 300, want at most twice as many", n, after)
 	}
 }
+
+// TestFinishedMessagesDoNotAccumulate guards against memory that grows with the rate of rejected messages: the timers
+// of messages that have finished must not keep them until their deadlines.
+func TestFinishedMessagesDoNotAccumulate(t *testing.T) {
+	settings := singleClassSettings()
+	h := newHarness(t, settings, readyEndpoint(1, 5))
+	most := 0
+	for range 20_000 {
+		event := h.message(0, 0)
+		h.step(event, Event{Kind: EvMessageWithdrawn, Message: event.Message})
+		most = max(most, len(h.engine.timers.items))
+	}
+	if limit := 3 * minTimersToRemove; most > limit {
+		t.Errorf("timers of 20000 messages that finished at once: %d, want at most %d", most, limit)
+	}
+}
+
+// TestRemovedTimersLeaveTheOthers guards the messages that still wait: removing the timers of finished ones must not
+// change when theirs fire.
+func TestRemovedTimersLeaveTheOthers(t *testing.T) {
+	var timers schedule[int]
+	for n := range 1000 {
+		timers.add(Time(n*7919%1000), n)
+	}
+	timers.removeFunc(func(n int) bool { return n%10 != 0 })
+	popped := 0
+	for at := range Time(1000) {
+		for n, ok := timers.popDue(at); ok; n, ok = timers.popDue(at) {
+			popped++
+			if n%10 != 0 || Time(n*7919%1000) != at {
+				t.Errorf("timer %d fired at %d, want %d, and only multiples of 10", n, at, n*7919%1000)
+			}
+		}
+	}
+	if popped != 100 {
+		t.Errorf("%d timers fired, want 100", popped)
+	}
+}
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -47,7 +47,7 @@
 	message.firstUncertainAt = sentAt
 	message.firstUncertainZone = zone
 	windowEnd := sentAt + message.class.DedupWindow - 2*e.settings.TickInterval + 1
-	e.timers.add(max(windowEnd, e.now+1), func() { e.reevaluate(message) })
+	e.reevaluateAt(max(windowEnd, e.now+1), message)
 }
 
 // attemptTimeout returns when an attempt that is sent now times out: after several times the usual
@@ -82,7 +82,7 @@
 	}
 	cancelAt := max(call.sentAt, cmp.Or(e.saturatedSince, e.now)) + maxDuration
 	if call.openAttempts > 0 && cancelAt > e.now {
-		e.timers.add(cancelAt, func() { e.cancelOverdueCall(call) })
+		e.callAt(cancelAt, func() { e.cancelOverdueCall(call) })
 		return
 	}
 	for _, message := range call.messages {
--- a/policy/schedule.go
+++ b/policy/schedule.go
@@ -3,8 +3,12 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 )
 
+// minUseDivisor determines the smallest used part of a schedule's memory, above which removeFunc keeps it.
+const minUseDivisor = 4
+
 // schedule is a priority queue of values by time. Values with the same time come out in the order of insertion.
 type schedule[T any] struct {
 	items scheduleHeap[T]
@@ -60,6 +64,15 @@
 	return heap.Pop(&s.items).(scheduledItem[T]).value, true
 }
 
+// removeFunc removes the values for which remove returns true. The order of the others stays.
+func (s *schedule[T]) removeFunc(remove func(T) bool) {
+	s.items = slices.DeleteFunc(s.items, func(item scheduledItem[T]) bool { return remove(item.value) })
+	if len(s.items) < cap(s.items)/minUseDivisor {
+		s.items = slices.Clone(s.items)
+	}
+	heap.Init(&s.items)
+}
+
 // nextTime returns the time of the earliest value; math.MaxInt64 if the schedule is empty.
 func (s *schedule[T]) nextTime() Time {
 	if len(s.items) == 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -15,7 +15,8 @@
 	messages             map[uint32]*message
 	pending              pendingMessages // messages that have not ended
 	orderedQueues        map[uint64]*orderedQueue
-	timers               schedule[func()]
+	timers               schedule[timer]
+	finishedMessages     int            // since the timers of finished messages were last removed
 	dirty                []*destination // their next message must be chosen in this step
 	readyDestinations    []*destination // have a next message that waits only for a slot
 	tenantQuotas         []tokenBucket
@@ -32,6 +33,12 @@
 	saturatedSince       Time            // since when messages have waited with all slots taken; 0 if none do now
 }
 
+// timer is a function to be called at a time.
+type timer struct {
+	run     func()
+	message *message // once this message has finished, the function has no effect; nil if that never holds
+}
+
 // destination has a queue of messages, and one limiter, or one for each independent route.
 type destination struct {
 	id            int
