Respserver: a buffer of input counts as memory until its last byte is parsed

Cause: unprocessed input counted with the capacity of the part that was still to be parsed, while the whole buffer of up to 16 KB stays in memory; a heap profile showed 5.6 MB where at most 4 MB were allowed. Change: the size of the buffer counts.

--- a/internal/respserver/conn.go
+++ b/internal/respserver/conn.go
@@ -1,6 +1,7 @@
 package respserver
 
 import (
+	"bytes"
 	"syscall"
 
 	"troutusher/internal/connlimit"
@@ -45,6 +46,7 @@
 // connBuffers holds the state of a connection that most connections do not need.
 type connBuffers struct {
 	unprocessed []byte  // input that was read and not parsed yet
+	inputBytes  int     // size of the buffer that holds unprocessed, also of its part that was parsed
 	unwritten   []byte  // the rest of a reply
 	errorReply  string  // an error reply whose delay is running
 	pending     Pending // the request that awaits its reply, or nil
@@ -61,10 +63,37 @@
 
 func (c *conn) dropUnprocessed() {
 	if c.buffers != nil {
-		c.buffers.unprocessed = nil
+		c.buffers.unprocessed, c.buffers.inputBytes = nil, 0
 	}
 }
 
+// keepUnprocessed keeps input for later. If it is the connection's own memory, it is the rest of the
+// unprocessed input that was taken before; otherwise it is copied.
+func (c *conn) keepUnprocessed(input []byte, owned bool) {
+	buffers := c.ensureBuffers()
+	if !owned {
+		input = bytes.Clone(input)
+		buffers.inputBytes = cap(input)
+	}
+	buffers.unprocessed = input
+}
+
+// takeUnprocessed returns the input that was kept.
+func (c *conn) takeUnprocessed() []byte {
+	input := c.buffers.unprocessed
+	c.buffers.unprocessed = nil
+	return input
+}
+
+// unprocessedBytes returns the memory of the input that was kept. What was parsed of a buffer is not freed
+// before the rest of it is.
+func (c *conn) unprocessedBytes() int {
+	if !c.hasUnprocessed() {
+		return 0
+	}
+	return c.buffers.inputBytes
+}
+
 // connAt returns the connection in a slot.
 func (s *Server) connAt(slot uint32) *conn { return &s.connPages[slot/connsPerPage][slot%connsPerPage] }
 
--- a/internal/respserver/handover.go
+++ b/internal/respserver/handover.go
@@ -108,7 +108,7 @@
 		return false
 	}
 	if len(snapshot.Unprocessed) > 0 {
-		c.ensureBuffers().unprocessed = snapshot.Unprocessed
+		c.keepUnprocessed(snapshot.Unprocessed, false)
 		s.accountMemory(c, 0)
 	}
 	if len(snapshot.Unwritten) > 0 {
--- a/internal/respserver/memory.go
+++ b/internal/respserver/memory.go
@@ -46,13 +46,10 @@
 // accountMemory updates memoryUsed with the memory that a connection's commands hold now.
 // requestSize is the memory of its pending request.
 func (s *Server) accountMemory(c *conn, requestSize int) {
-	size := requestSize
+	size := requestSize + c.unprocessedBytes()
 	if c.reader != nil {
 		size += c.reader.BufferBytes()
 	}
-	if c.buffers != nil {
-		size += cap(c.buffers.unprocessed)
-	}
 	s.memoryUsed += size - int(c.memory)
 	c.memory = int32(size)
 }
--- a/internal/respserver/memory_test.go
+++ b/internal/respserver/memory_test.go
@@ -106,3 +106,39 @@
 	}
 	waitUntil(t, "all memory to be released", func() bool { return server.memoryInUse() == 0 })
 }
+
+// Guards the memory limit against commands that are sent ahead: the buffer that holds them stays in memory
+// until the last of them is parsed, and has to count until then.
+func TestPartlyParsedInputCounts(t *testing.T) {
+	server, handler := startServer(t, testOptions())
+	requests := handler.captureRequests()
+	client := dial(t, server.Addr())
+	body := strings.Repeat("b", 1000)
+	var input strings.Builder
+	for n := range 10 {
+		input.WriteString(encodeCommand("SAY", fmt.Sprint(n), body))
+	}
+	client.send(input.String())
+	held := func() (bytes int) {
+		server.Inspect(func(*connlimit.Limiter) { bytes = server.connAt(0).unprocessedBytes() })
+		return bytes
+	}
+	id := <-requests
+	before := held()
+	for range 8 {
+		server.SendReply(id, "+OK\r\n")
+		client.expectLine("+OK")
+		id = <-requests
+	}
+	if after := held(); before < 9*len(body) || after != before {
+		t.Errorf("input kept: %d bytes before 8 of 9 commands were parsed, %d after; want the same", before, after)
+	}
+	server.SendReply(id, "+OK\r\n")
+	client.expectLine("+OK")
+	if after := <-requests; after == id {
+		t.Error("the last request has the ID of the one before")
+	}
+	if after := held(); after != 0 {
+		t.Errorf("input kept after the last command was parsed: %d bytes, want 0", after)
+	}
+}
--- a/internal/respserver/read.go
+++ b/internal/respserver/read.go
@@ -102,9 +102,7 @@
 // the connection was closed.
 func (s *Server) readConn(slot uint32, c *conn) bool {
 	if c.hasUnprocessed() {
-		input := c.buffers.unprocessed
-		c.buffers.unprocessed = nil
-		s.parse(slot, c, input, true)
+		s.parse(slot, c, c.takeUnprocessed(), true)
 		return c.fd > 0
 	}
 	if !c.readable {
@@ -137,10 +135,7 @@
 	n, complete, err := c.reader.Feed(input)
 	inSync := err == nil || errors.Is(err, resp.ErrTooLong) // it is known where the next command begins
 	if rest := input[n:]; len(rest) > 0 && inSync {
-		if !owned {
-			rest = append([]byte(nil), rest...)
-		}
-		c.ensureBuffers().unprocessed = rest
+		c.keepUnprocessed(rest, owned)
 	}
 	if !complete {
 		s.accountMemory(c, 0)
