Relay: fields of a request that it does not use need no memory

Cause: all fields went into a map, and class and tenant of the held message were parts of the text of all fields, so its 4 KB stayed with each message. Change: unknown fields are skipped, what is kept is copied. New TestManyFieldsNeedLittleMemory: at most 1,024 bytes allocated for 600 unknown fields.

--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"strconv"
@@ -438,3 +439,26 @@
 	}
 	return cfg
 }
+
+// Guards memory against requests with very many short fields: reading one must allocate little, and the
+// request must not keep the text of its fields.
+func TestManyFieldsNeedLittleMemory(t *testing.T) {
+	cfg := testConfigParsed(t)
+	var fields strings.Builder
+	fields.WriteString(putFields("keyed", 8000, 1))
+	for n := range 600 {
+		fmt.Fprintf(&fields, ",f%d=", n)
+	}
+	args := [][]byte{[]byte("MSG.PUT"), []byte("0"), []byte("id"), []byte(fields.String()), []byte("body")}
+	allocated := testing.Benchmark(func(b *testing.B) {
+		for range b.N {
+			if _, err := parsePut(cfg, args, time.Now()); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}).AllocedBytesPerOp()
+	if most := int64(1024); allocated > most {
+		t.Errorf("bytes allocated for a request with %d bytes of fields = %d, want at most %d",
+			fields.Len(), allocated, most)
+	}
+}
--- a/internal/relay/put.go
+++ b/internal/relay/put.go
@@ -41,7 +41,7 @@
 	if !isToken(id) {
 		return nil, errors.New("id: empty, too long or not plain")
 	}
-	fields, err := parseFields(string(args[3]))
+	fields, err := parseFields(args[3])
 	if err != nil {
 		return nil, err
 	}
@@ -49,66 +49,80 @@
 		Record: &record{Kind: core.RecordAccepted, ID: id, Body: bytes.Clone(args[4])},
 	}}
 	req.Handle = req
-	if err := req.readClass(cfg, fields); err != nil {
+	if err := req.readClass(cfg, &fields); err != nil {
 		return nil, err
 	}
-	if err := req.readTenant(cfg, fields); err != nil {
+	if err := req.readTenant(cfg, &fields); err != nil {
 		return nil, err
 	}
-	if err := req.readDeadline(cfg, fields, now); err != nil {
+	if err := req.readDeadline(cfg, &fields, now); err != nil {
 		return nil, err
 	}
-	if err := req.readDestination(fields); err != nil {
+	if err := req.readDestination(&fields); err != nil {
 		return nil, err
 	}
-	if err := req.readIdempotencyKey(cfg, fields); err != nil {
+	if err := req.readIdempotencyKey(cfg, &fields); err != nil {
 		return nil, err
 	}
 	return req, nil
 }
 
-// parseFields parses name=value pairs that are separated by commas. Pairs with unknown
-// names are in the result too; the callers ignore them.
-func parseFields(text string) (map[string]string, error) {
-	fields := map[string]string{}
-	for field := range strings.SplitSeq(text, ",") {
-		name, value, ok := strings.Cut(field, "=")
+// fieldValues are the fields of MSG.PUT that the relay uses. A field that a command lacks is empty; of a
+// field that it repeats, the last value counts. The values are parts of the command, whose memory the
+// server reuses; what the request keeps of them is copied.
+type fieldValues struct {
+	class, tenant, deadline, destination, key []byte
+}
+
+// parseFields parses name=value pairs that are separated by commas. It skips pairs with unknown names.
+func parseFields(text []byte) (fields fieldValues, err error) {
+	for field := range bytes.SplitSeq(text, []byte{','}) {
+		name, value, ok := bytes.Cut(field, []byte{'='})
 		if !ok {
-			return nil, fmt.Errorf("field %q without a value", field)
+			return fieldValues{}, fmt.Errorf("field %q without a value", field)
+		}
+		switch string(name) {
+		case "c":
+			fields.class = value
+		case "t":
+			fields.tenant = value
+		case "d":
+			fields.deadline = value
+		case "dest":
+			fields.destination = value
+		case "k":
+			fields.key = value
 		}
-		fields[name] = value
 	}
 	return fields, nil
 }
 
-func (req *request) readClass(cfg *config.Config, fields map[string]string) error {
-	name := fields["c"]
-	class, ok := cfg.Classes[name]
+func (req *request) readClass(cfg *config.Config, fields *fieldValues) error {
+	class, ok := cfg.Classes[string(fields.class)]
 	if !ok {
-		return fmt.Errorf("c: unknown class %q", name)
+		return fmt.Errorf("c: unknown class %q", fields.class)
 	}
-	req.Class, req.Record.Class = class, name
+	req.Class, req.Record.Class = class, string(fields.class)
 	return nil
 }
 
-func (req *request) readTenant(cfg *config.Config, fields map[string]string) error {
-	name := fields["t"]
-	tenant, ok := cfg.Tenants[name]
+func (req *request) readTenant(cfg *config.Config, fields *fieldValues) error {
+	tenant, ok := cfg.Tenants[string(fields.tenant)]
 	switch {
 	case ok:
 	case len(cfg.Tenants) > 0:
-		return fmt.Errorf("t: unknown tenant %q", name)
+		return fmt.Errorf("t: unknown tenant %q", fields.tenant)
 	default:
 		tenant = noTenant
 	}
-	req.Tenant, req.Record.Tenant = tenant, name
+	req.Tenant, req.Record.Tenant = tenant, string(fields.tenant)
 	return nil
 }
 
 // readDeadline reads the time that the message has left. It must be called after
 // readClass, since the class bounds that time.
-func (req *request) readDeadline(cfg *config.Config, fields map[string]string, now time.Time) error {
-	ms, err := parseMilliseconds(fields["d"])
+func (req *request) readDeadline(cfg *config.Config, fields *fieldValues, now time.Time) error {
+	ms, err := parseMilliseconds(string(fields.deadline))
 	if err != nil {
 		return fmt.Errorf("d: %w", err)
 	}
@@ -121,17 +135,17 @@
 	return nil
 }
 
-func (req *request) readDestination(fields map[string]string) error {
-	dest, err := strconv.ParseUint(fields["dest"], 10, 16)
+func (req *request) readDestination(fields *fieldValues) error {
+	dest, err := strconv.ParseUint(string(fields.destination), 10, 16)
 	if err != nil {
-		return fmt.Errorf("dest: %.32q is no destination", fields["dest"])
+		return fmt.Errorf("dest: %.32q is no destination", fields.destination)
 	}
 	req.Record.Dest = int(dest)
 	return nil
 }
 
-func (req *request) readIdempotencyKey(cfg *config.Config, fields map[string]string) error {
-	key := fields["k"]
+func (req *request) readIdempotencyKey(cfg *config.Config, fields *fieldValues) error {
+	key := string(fields.key)
 	req.Record.Key = key
 	switch {
 	case key != "" && !isToken(key):
