Memory: the program's own pages and accepted messages count toward the memory limit

A process over its limit is killed. Cause: Go's heap could use 70% of the limit and commands an eighth, while 8.6 MB were pages of the program; accepted messages were limited by the disk alone, and a compaction encoded them all in memory. TestBoundedPendingMemory.

--- a/cmd/troutusher/main.go
+++ b/cmd/troutusher/main.go
@@ -39,7 +39,7 @@
 		os.Exit(exitConfig)
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
-	debug.SetMemoryLimit(heapLimit(cfg.Limits.MemoryMB))
+	debug.SetMemoryLimit(cfg.HeapLimit())
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	reloads := relay.ReloadRequests{
@@ -51,7 +51,3 @@
 		os.Exit(exitFailed)
 	}
 }
-
-// heapLimit returns the Go runtime's soft memory limit, in bytes, for a process that may use
-// memoryMB: 70 percent. The rest is for files and stacks.
-func heapLimit(memoryMB int) int64 { return int64(memoryMB) << 20 / 10 * 7 }
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -34,8 +34,6 @@
 	// spareEndpointConns is the number of connections to endpoints beyond one for each
 	// concurrent call. Health checks, which are not calls, use connections too.
 	spareEndpointConns = 8
-
-	commandMemoryDivisor = 8 // the commands of clients may use 1/8 of the memory
 )
 
 // withDefaults returns the limits with zeros replaced by defaults. It returns an error if
@@ -137,12 +135,3 @@
 	}
 	return limits
 }
-
-// CommandMemory returns the maximum memory, in bytes, of client commands that are being
-// read or wait for their reply.
-func (c *Config) CommandMemory() int {
-	if c.ClientSettings.MemoryMB > 0 {
-		return c.ClientSettings.MemoryMB << 20
-	}
-	return c.Limits.MemoryMB << 20 / commandMemoryDivisor
-}
--- a/internal/relay/startup.go
+++ b/internal/relay/startup.go
@@ -272,9 +272,10 @@
 	s.stateSaver = newStateSaver(s.Relay)
 	diskLimit := int64(s.cfg.Limits.DiskMB) << 20
 	log, undelivered, err := wal.Open(wal.Options{
-		Dir:      s.cfg.State,
-		MaxBytes: diskLimit - s.stateSaver.diskReserve(diskLimit),
-		Logger:   s.log,
+		Dir:             s.cfg.State,
+		MaxBytes:        diskLimit - s.stateSaver.diskReserve(diskLimit),
+		MaxPendingBytes: int64(s.cfg.PendingMemory()),
+		Logger:          s.log,
 		InFlight: func(id string) bool {
 			_, ok := s.inheritedCalls[id]
 			return ok
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -11,6 +11,8 @@
 const (
 	callPath   = "/v1/messages"
 	healthPath = "/health/live"
+
+	requestHeadSize = 512 // bytes; most heads are smaller
 )
 
 // Request is the content of a [Call] and its timeout.
@@ -50,6 +52,7 @@
 // encodeRequest returns the bytes of a request as they are written to a connection.
 func encodeRequest(req *http.Request) ([]byte, error) {
 	var text bytes.Buffer
+	text.Grow(int(req.ContentLength) + requestHeadSize)
 	if err := req.Write(&text); err != nil {
 		return nil, err
 	}
--- a/internal/wal/append.go
+++ b/internal/wal/append.go
@@ -53,7 +53,7 @@
 		free -= pendingReserve
 		// A compacted log would hold all pending records, and so would its copy at the next compaction.
 		// If these do not fit, compaction cannot make room, so it is not even tried.
-		if 2*pending > free {
+		if 2*pending > free || pending > l.maxPendingBytes {
 			return ErrFull
 		}
 	}
--- a/internal/wal/compaction.go
+++ b/internal/wal/compaction.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"os"
@@ -8,6 +9,8 @@
 	"troutusher/internal/core"
 )
 
+const compactionBuffer = 32 << 10 // bytes
+
 // compact replaces the log with one that contains only the pending messages and the records
 // about endpoints. If it fails, the log is unchanged.
 func (l *Log) compact() error {
@@ -15,41 +18,51 @@
 	for _, r := range records {
 		r.Kind = core.RecordAccepted
 	}
-	var text []byte
-	for _, r := range append(l.pending.endpointRecords(), records...) {
-		var err error
-		if text, err = appendRecord(text, r); err != nil {
-			return err
-		}
-	}
-	if l.size+int64(len(text)) > l.maxBytes-roundingReserve/2 {
-		return ErrFull
-	}
-	compacted, err := l.replaceWith(text)
+	compacted, size, err := l.replaceWith(append(l.pending.endpointRecords(), records...))
 	if err != nil {
-		return fmt.Errorf("write compacted write-ahead log of %d bytes: %w", len(text), err)
+		return fmt.Errorf("write compacted write-ahead log: %w", err)
 	}
 	if l.file != nil {
 		// Nothing reads the replaced file any more, so an error of closing it can be ignored.
 		_ = l.file.Close()
 	}
-	l.file, l.size = compacted, int64(len(text))
+	l.file, l.size = compacted, size
 	return nil
 }
 
-// replaceWith writes text to a new file, renames the file to the log's path and returns
-// it open.
-func (l *Log) replaceWith(text []byte) (*os.File, error) {
+// replaceWith writes the records to a new file, renames the file to the log's path and returns it open,
+// with its size. It returns ErrFull if the old and the new log together would exceed the size limit.
+func (l *Log) replaceWith(records []*core.Record) (*os.File, int64, error) {
 	path := l.path + compactedSuffix
 	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	if _, err = f.Write(text); err == nil {
+	size, err := writeRecords(f, records, l.maxBytes-roundingReserve/2-l.size)
+	if err == nil {
 		err = os.Rename(path, l.path)
 	}
 	if err != nil {
-		return nil, errors.Join(err, f.Close(), os.Remove(path))
+		return nil, 0, errors.Join(err, f.Close(), os.Remove(path))
+	}
+	return f, size, nil
+}
+
+// writeRecords writes encoded records one by one, since all of them together may need much memory. It
+// returns their size, or ErrFull before it would write more than maxSize bytes.
+func writeRecords(f *os.File, records []*core.Record, maxSize int64) (size int64, err error) {
+	buffered := bufio.NewWriterSize(f, compactionBuffer)
+	var text []byte
+	for _, r := range records {
+		if text, err = appendRecord(text[:0], r); err != nil {
+			return 0, err
+		}
+		if size += int64(len(text)); size > maxSize {
+			return 0, ErrFull
+		}
+		if _, err = buffered.Write(text); err != nil {
+			return 0, err
+		}
 	}
-	return f, nil
+	return size, buffered.Flush()
 }
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -11,10 +11,12 @@
 package wal
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io/fs"
 	"log/slog"
+	"math"
 	"os"
 	"path/filepath"
 	"sync"
@@ -55,6 +57,9 @@
 	Dir string
 	// MaxBytes is the maximum disk space of the log together with a compacted copy of it.
 	MaxBytes int64
+	// MaxPendingBytes is the maximum memory of the pending messages. A record that accepts another one is
+	// rejected with ErrFull. 0 means that only MaxBytes limits them.
+	MaxPendingBytes int64
 	// InFlight reports whether an attempt of a message that an earlier process started is still in
 	// flight. The outcome of such an attempt will be submitted. A nil InFlight means
 	// that no attempt is in flight.
@@ -66,10 +71,11 @@
 // any goroutine. After Open, only the goroutine that calls Run uses the file and the
 // pending records.
 type Log struct {
-	path     string
-	maxBytes int64
-	logger   *slog.Logger
-	origin   Origin
+	path            string
+	maxBytes        int64
+	maxPendingBytes int64
+	logger          *slog.Logger
+	origin          Origin
 
 	file    *os.File
 	size    int64
@@ -94,14 +100,15 @@
 // current state. An attempt without an outcome is marked as possibly executed.
 func Open(o Options) (*Log, []*core.Record, error) {
 	l := &Log{
-		path:     filepath.Join(o.Dir, FileName),
-		maxBytes: o.MaxBytes,
-		logger:   o.Logger,
-		origin:   Recovered,
-		pending:  newPendingSet(),
-		queue:    mailbox.New[request](),
-		stop:     make(chan struct{}),
-		done:     make(chan struct{}),
+		path:            filepath.Join(o.Dir, FileName),
+		maxBytes:        o.MaxBytes,
+		maxPendingBytes: cmp.Or(o.MaxPendingBytes, math.MaxInt64),
+		logger:          o.Logger,
+		origin:          Recovered,
+		pending:         newPendingSet(),
+		queue:           mailbox.New[request](),
+		stop:            make(chan struct{}),
+		done:            make(chan struct{}),
 	}
 	// A killed process may have left an incomplete compacted log. If it cannot be removed,
 	// the next compaction overwrites it.
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -287,3 +287,36 @@
 	}
 	return text
 }
+
+// Guards a relay with a large disk and little memory: the pending messages, which are all in memory, must
+// not exceed their limit, and a message that ends makes room for another.
+func TestBoundedPendingMemory(t *testing.T) {
+	const messages, size, limit = 100, 10_000, 200_000
+	body := strings.Repeat("b", size)
+	log, _, err := Open(Options{
+		Dir: t.TempDir(), MaxBytes: 64 << 20, MaxPendingBytes: limit, Logger: discardLogger(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken := 0
+	for n := range messages {
+		record := accepted(fmt.Sprint(n), body)
+		switch err := log.append(record); {
+		case err == nil:
+			taken++
+		case !errors.Is(err, ErrFull):
+			t.Fatalf("append = %v, want nil or ErrFull", err)
+		}
+	}
+	if log.pending.bytes > limit || taken < limit/size/2 {
+		t.Errorf("%d bytes of %d messages are pending, want at most %d and at least half of that",
+			log.pending.bytes, taken, limit)
+	}
+	if err := log.append(&core.Record{Kind: core.RecordDone, ID: "0"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := log.append(accepted("again", body)); err != nil {
+		t.Errorf("append after a message has ended = %v, want room for another", err)
+	}
+}
