Respserver: a client that left during an upgrade is known to have left before its turn

Cause: imported connections were served once before the server asked for events; a reply that was written before the first events made the request accepted. Change: the server handles the events of its connections before it first serves them, so such a request is withdrawn. New TestImportedClientHasLeft failed each time before.

--- a/internal/respserver/handover_test.go
+++ b/internal/respserver/handover_test.go
@@ -108,6 +108,43 @@
 	}
 }
 
+// Guards against serving requests of clients that have left: they wrote and closed while neither server read.
+// The successor must know that they have left before it passes on their first request.
+func TestImportedClientHasLeft(t *testing.T) {
+	server, _ := startServer(t, testOptions())
+	var clients []*testClient
+	for range 20 {
+		client := dial(t, server.Addr())
+		client.ping()
+		clients = append(clients, client)
+	}
+	pause(server)
+	listenerFDs, conns := server.Export(1000)
+	for n, client := range clients {
+		client.sendCommand("SAY", fmt.Sprint(n))
+		if err := client.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+	successor := newSuccessor(t, listenerFDs, conns)
+	server.Inspect(func(*connlimit.Limiter) {}) // returns after another turn of the event loop
+	server.Close()
+	knownToHaveLeft := make(chan bool, len(clients))
+	serve := successor.options.Handler
+	successor.options.Handler = func(command *Command) Reply {
+		knownToHaveLeft <- successor.connAt(command.ID.slot).peerClosed
+		return serve(command)
+	}
+	runServer(t, successor)
+	waitUntil(t, "all connections to be closed", func() bool { return successor.connsInUse() == 0 })
+	close(knownToHaveLeft)
+	for known := range knownToHaveLeft {
+		if !known {
+			t.Error("a request was passed on before the server knew that its client had left")
+		}
+	}
+}
+
 // A resumed server must continue to serve its connections as before the pause.
 func TestResumeAfterPause(t *testing.T) {
 	server, _ := startServer(t, testOptions())
--- a/internal/respserver/server.go
+++ b/internal/respserver/server.go
@@ -97,6 +97,8 @@
 	if err := s.Listen(); err != nil {
 		return err
 	}
+	// A client whose connection was imported may have left meanwhile, and its requests are not to be served.
+	s.handleEvents(s.poller.poll())
 	var tasks []task
 	var state loopState
 	for {
