Core: a message that has ended does not run again when it comes again

Cause: only the ids of held messages were known. Change: the core remembers the last 4,096 delivered messages, and those given up after a call although they may not run any number of times (256 KB of ids at most); one that comes again is answered +OK or -ERR given up and not sent. A hand-over has the last 1,024, as a key that older releases ignore. A restart forgets them.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,6 +55,7 @@
 	now      policy.Time
 
 	messages          messageTable
+	ended             endedMessages
 	endpoints         endpointTable
 	knownDestinations map[int]bool        // named by a list and not passive, see passivation.go
 	retryAfter        map[int]policy.Time // by destination: the time before which nothing is sent
@@ -89,6 +90,7 @@
 		settings:          settings,
 		policy:            engine,
 		messages:          newMessageTable(),
+		ended:             newEndedMessages(),
 		endpoints:         newEndpointTable(),
 		knownDestinations: map[int]bool{},
 		retryAfter:        map[int]policy.Time{},
--- a/internal/core/end.go
+++ b/internal/core/end.go
@@ -47,6 +47,9 @@
 		return
 	}
 	c.finish(m)
+	if outcome == NoticeGivenUp && m.attempts > 0 && !c.mayRunAgain(m) {
+		c.ended.add(EndedMessage{Message: m.record.ID})
+	}
 	c.countRecoveredUnsent(m, outcome, action.Reason.String())
 	c.log(slog.LevelInfo, msgtrace.Ended, "message", m.record.ID, "class", m.record.Class, "dest", m.record.Dest,
 		"outcome", outcome, "why", action.Reason.String(), "tries", m.attempts, "left_ms", c.remainingMS(m))
@@ -67,6 +70,12 @@
 	c.metrics.Add(m.record.Dest, metrics.GivenUp, 1)
 }
 
+// mayRunAgain reports whether the class of a message allows it to run any number of times.
+func (c *Core) mayRunAgain(m *message) bool {
+	class, known := c.settings.Classes[m.record.Class]
+	return known && c.settings.Policy.Classes[class].Idempotency == policy.Idempotent
+}
+
 // rejectSubmitted rejects a message that was submitted in this step.
 func (c *Core) rejectSubmitted(m *message, action *policy.Action, outcome string) {
 	request := m.request
--- a/internal/core/fixtures_test.go
+++ b/internal/core/fixtures_test.go
@@ -93,6 +93,7 @@
 		"notice.json":          func() any { return &Notice{} },
 		"list.json":            func() any { return &EndpointList{} },
 		"handover.json":        func() any { return &HandoverState{} },
+		"handover_ended.json":  func() any { return &HandoverState{} },
 		"snapshot.json":        func() any { return &StateSnapshot{} },
 	} {
 		full, next := empty(), 0
@@ -100,6 +101,9 @@
 		if record, ok := full.(*Record); ok && name == "record.json" { // from before records about endpoints
 			record.Address, record.Revision = "", 0
 		}
+		if state, ok := full.(*HandoverState); ok && name == "handover.json" { // from before ended messages
+			state.Ended = nil
+		}
 		var got bytes.Buffer
 		for _, v := range []any{full, empty()} {
 			text, err := json.Marshal(v)
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -22,6 +22,7 @@
 	Calls             []HandoverCall       `json:"calls"`
 	Weights           []HandoverWeight     `json:"worth"`
 	Policy            *policy.Snapshot     `json:"policy"`
+	Ended             []EndedMessage       `json:"ended,omitempty"`
 }
 
 // HandoverMember is an endpoint that the list contains, or one that has been removed from it
@@ -65,7 +66,7 @@
 	c.finishListUpdate()
 	state := &HandoverState{
 		Revision: c.listRevision, Policy: c.policy.Snapshot(c.now),
-		Members: c.handoverMembers(), RetryAfters: c.handoverRetryAfters(),
+		Members: c.handoverMembers(), RetryAfters: c.handoverRetryAfters(), Ended: c.ended.newest(maxHandedOverEnded),
 	}
 	members, limiters := c.passiveState()
 	state.Members = append(state.Members, members...)
@@ -113,6 +114,9 @@
 	for _, retryAfter := range state.RetryAfters {
 		c.extendRetryAfter(retryAfter.Dest, retryAfter.Until+shift)
 	}
+	for _, ended := range state.Ended {
+		c.ended.add(ended)
+	}
 	list := &EndpointList{Revision: state.Revision, Complete: true, Members: membersOf(state.Members)}
 	c.applyList(list, policy.ListCached)
 	c.finishListUpdate()
--- a/internal/core/outcome.go
+++ b/internal/core/outcome.go
@@ -128,6 +128,7 @@
 	}
 	if result.Outcome == policy.Delivered {
 		c.countsOf(m.record.Class).Delivered++
+		c.ended.add(EndedMessage{Message: m.record.ID, Delivered: true})
 	}
 	c.finish(m)
 }
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -47,7 +47,7 @@
 }
 
 // replyWithoutPolicy returns the reply to a request that does not reach the policy, because it
-// is rejected or because its message is already held. replied is false for other requests.
+// is rejected or because its message is held or has ended already. replied is false for other requests.
 func (c *Core) replyWithoutPolicy(request *Request) (reply Reply, replied bool) {
 	record := request.Record
 	held := c.messages.byID[record.ID]
@@ -60,6 +60,11 @@
 		return Reply{OK: true}, true
 	case held != nil:
 		return Reply{Err: errAlreadySubmitted}, true
+	}
+	if reply, ended := c.ended.reply(record.ID); ended {
+		return reply, true
+	}
+	switch {
 	case len(c.knownDestinations) > 0 && !c.knowsDestination(record.Dest):
 		// Holding the message would be useless, and the policy would keep the unknown
 		// destination forever. A destination whose endpoints are only temporarily gone is known.
--- a/internal/relay/fake_test.go
+++ b/internal/relay/fake_test.go
@@ -82,6 +82,13 @@
 }
 
 // count returns the number of calls received for a message.
+// callCount returns the number of calls of all messages.
+func (e *fakeEndpoint) callCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.calls)
+}
+
 func (e *fakeEndpoint) count(id string) (n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
