Membersource: the first watch continues the newer of the saved and the configured list

Cause: after a start discovery's list came from the members file under an earlier process's epoch, so the configuration's list was left out, and the first change on the watch was rejected as one of an unknown list. Change: the newer of the saved and the configured list becomes the known list of the first watch's epoch, if both are of one address. Why it works: the watch asks for what changed after the configured list. Tests, each failed before: TestRestartAppliesNewerConfiguredList, TestFirstChangeAfterRestart.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -46,6 +46,7 @@
 	address           agentAddress
 	client            *http.Client
 	createdAt         int64 // Unix time in ns; part of the epoch
+	firstBaseURL      string
 	firstResponse     chan struct{}
 	firstResponseOnce sync.Once
 	listTimeout       time.Duration // defaultListTimeout; only tests change it
@@ -67,11 +68,14 @@
 		address:       newAgentAddress(o.Address),
 		client:        client,
 		createdAt:     time.Now().UnixNano(),
+		firstBaseURL:  baseURLOf(o.Address),
 		firstResponse: make(chan struct{}),
 		listTimeout:   defaultListTimeout,
 	}
 }
 
+func baseURLOf(address string) string { return "http://" + address }
+
 // FirstResponse returns a channel that is closed at the first list, heartbeat or end of a call, successful
 // or not, and when a watch from the known revision was accepted and no list begins within UnchangedDelay. A
 // list that came first has been passed to OnList before.
@@ -96,7 +100,7 @@
 // on without delay, because the grace period within which calls to a draining endpoint must stop begins
 // when the agent sends the list.
 func (w *Watcher) watchAddress(ctx context.Context, address string) {
-	w.baseURL = "http://" + address
+	w.baseURL = baseURLOf(address)
 	w.watchCount++
 	defer w.client.CloseIdleConnections()
 	for ctx.Err() == nil {
@@ -130,13 +134,21 @@
 // at different times: the line's time shows when this relay received it.
 func (w *Watcher) deliver(list *core.EndpointList, bytes int) {
 	w.options.Log.Info("list", "revision", list.Revision, "whole", list.Complete, "members", len(list.Members))
-	epoch := fmt.Sprintf("%s#%d@%d", w.baseURL, w.watchCount, w.createdAt)
-	w.options.OnList(epoch, list)
+	w.options.OnList(w.epoch(w.baseURL, w.watchCount), list)
 	if bytes >= longListBytes {
 		// Otherwise the memory used to decode the list would not be released for minutes.
 		time.AfterFunc(freeMemoryDelay, debug.FreeOSMemory)
 	}
 }
 
+// epoch returns the epoch of the lists that a watch receives. It begins with the address, followed by '#'.
+func (w *Watcher) epoch(baseURL string, watchCount int) string {
+	return fmt.Sprintf("%s#%d@%d", baseURL, watchCount, w.createdAt)
+}
+
+// FirstEpoch returns the epoch of the first watch. Unless a resync or another address ends it before, this
+// watch continues from the revision that the scheduler started with.
+func (w *Watcher) FirstEpoch() string { return w.epoch(w.firstBaseURL, 1) }
+
 // markAnswered closes the channel of FirstResponse if it is still open.
 func (w *Watcher) markAnswered() { w.firstResponseOnce.Do(func() { close(w.firstResponse) }) }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -80,6 +80,14 @@
 	return t.epoch, t.revision, t.known
 }
 
+// ContinueAs makes an epoch the current one of a source, whose list is known. Changes of that epoch then apply to
+// the known list. The caller asserts that they continue it.
+func (v *View) ContinueAs(source int, epoch string) {
+	t := &v.sources[source]
+	t.rememberFormerEpoch()
+	t.epoch = epoch
+}
+
 func (v *View) warn(w Warning) { v.warnings = append(v.warnings, w) }
 
 // TakeWarnings returns the warnings since it was last called.
--- a/internal/membersource/file.go
+++ b/internal/membersource/file.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/google/renameio/v2"
@@ -24,14 +25,24 @@
 // not receive from the registry.
 const restoredEpoch = "before"
 
-// Restore loads the members that an earlier process saved. list is the list that the event loop
-// started with; Restore publishes only the differences from it.
-func (m *Merger) Restore(list *core.EndpointList) {
+// Start describes the lists with which a process starts.
+type Start struct {
+	// List is the list that the event loop started with.
+	List *core.EndpointList
+	// Watched is the list from whose revision the first watch of the registry continues, and Epoch the epoch of
+	// that watch. Watched is nil if the first call fetches the complete list.
+	Watched *core.EndpointList
+	Epoch   string
+}
+
+// Restore loads the members that an earlier process saved, and publishes the differences from the list that the
+// event loop started with.
+func (m *Merger) Restore(start Start) {
+	list := start.List
 	m.load()
+	m.continueWatch(start)
 	if _, _, known := m.view.Position(m.registry); !known {
-		m.view.Apply(m.now(), &membership.Update{
-			Source: m.registry, Epoch: restoredEpoch, Revision: list.Revision, Complete: true, Members: list.Members,
-		})
+		m.applyRegistryList(restoredEpoch, list)
 	}
 	m.registryRevision = list.Revision
 	// Step until no change is due. The changes are not published one by one: the comparison below
@@ -55,6 +66,37 @@
 	m.publish(changed)
 }
 
+// continueWatch makes the list of the registry one that the first watch continues, so that the view accepts
+// its changes: the saved list, or the watched one if that is newer. Revisions of different addresses can't be
+// compared; then the saved list stays until a complete one is fetched.
+func (m *Merger) continueWatch(start Start) {
+	if start.Watched == nil {
+		return
+	}
+	epoch, revision, known := m.view.Position(m.registry)
+	switch {
+	case known && epoch != restoredEpoch && addressOf(epoch) != addressOf(start.Epoch):
+	case known && revision >= start.Watched.Revision:
+		m.view.ContinueAs(m.registry, start.Epoch)
+	case !known && start.List.Revision >= start.Watched.Revision:
+		m.applyRegistryList(start.Epoch, start.List)
+	default:
+		m.applyRegistryList(start.Epoch, start.Watched)
+	}
+}
+
+func (m *Merger) applyRegistryList(epoch string, list *core.EndpointList) {
+	m.view.Apply(m.now(), &membership.Update{
+		Source: m.registry, Epoch: epoch, Revision: list.Revision, Complete: true, Members: list.Members,
+	})
+}
+
+// addressOf returns the registry's address in an epoch.
+func addressOf(epoch string) string {
+	address, _, _ := strings.Cut(epoch, "#")
+	return address
+}
+
 // load reads the members file into the view. It logs and ignores a file that cannot be read or decoded.
 func (m *Merger) load() {
 	text, err := os.ReadFile(m.path)
--- a/internal/membersource/fixtures_test.go
+++ b/internal/membersource/fixtures_test.go
@@ -80,7 +80,7 @@
 		t.Fatal(err)
 	}
 	m = newMerger(dir)
-	m.Restore(registryList)
+	m.Restore(Start{List: registryList})
 	if len(published) != 1 {
 		t.Fatalf("Restore published %d lists, want 1: %+v", len(published), published)
 	}
--- a/internal/relay/members_test.go
+++ b/internal/relay/members_test.go
@@ -297,3 +297,63 @@
 		return readStats(t, env["ROUTER_CONSOLE"])["cluster_unhealthy"] == 1
 	})
 }
+
+// Guards a relay that follows etcd too against calls to an endpoint for good that drained while the relay was
+// restarted. Its configuration's list has the drain, and its watch begins after that list.
+func TestRestartAppliesNewerConfiguredList(t *testing.T) {
+	draining, remaining := newFakeEndpoint(t, nil), newFakeEndpoint(t, nil)
+	drainingMember, remainingMember := draining.member("s-1", 1), remaining.member("s-2", 1)
+	_, env := startWithSavedMembers(t, drainingMember, remainingMember)
+	drainingMember.Phase = core.Draining
+	setKnownList(t, env, &core.EndpointList{
+		Revision: 9, Complete: true, Members: []core.Member{drainingMember, remainingMember},
+	})
+	startChild(t, env)
+	waitFor(t, "the endpoint to drain", func() bool {
+		return readStats(t, env["ROUTER_CONSOLE"])["cluster_unhealthy"] == 1
+	})
+	checkDrainKept(t, env, draining, remaining)
+}
+
+// Guards against dropping the first change of a watch after a restart: discovery, which is slow, does not send
+// the complete list, so the drain in the change has to be applied without it.
+func TestFirstChangeAfterRestart(t *testing.T) {
+	draining, remaining := newFakeEndpoint(t, nil), newFakeEndpoint(t, nil)
+	drainingMember := draining.member("s-1", 1)
+	discovery, env := startWithSavedMembers(t, drainingMember, remaining.member("s-2", 1))
+	watches := 0
+	discovery.Update(func(d *fakeDiscovery) { watches = len(d.Watches) })
+	startChild(t, env)
+	waitFor(t, "a watch", func() bool {
+		return discovery.Check(func() bool { return len(discovery.Watches) > watches })
+	})
+	discovery.Update(func(d *fakeDiscovery) { d.Silent = true })
+	drainingMember.Phase = core.Draining
+	discovery.SendLine(t, discoverytest.ChangeText(9, drainingMember))
+	waitFor(t, "the endpoint to drain", func() bool {
+		return readStats(t, env["ROUTER_CONSOLE"])["cluster_unhealthy"] == 1
+	})
+	checkDrainKept(t, env, draining, remaining)
+}
+
+// startWithSavedMembers starts a relay that follows etcd, with the members as its known list, and kills it once
+// it has saved them. It returns the discovery agent and the environment for the next start.
+func startWithSavedMembers(t *testing.T, members ...core.Member) (*fakeDiscovery, map[string]string) {
+	t.Helper()
+	cluster, err := emulator.NewCluster(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cluster.Close)
+	discovery := newFakeDiscovery(t, members...)
+	env := testConfig(t, discovery, 3, members...)
+	env["ROUTER_CONSOLE"] = freeAddr(t)
+	configureEtcd(t, env, cluster)
+	relay := startChild(t, env)
+	waitFor(t, "the members to be saved", func() bool {
+		text, _ := os.ReadFile(filepath.Join(env["ROUTER_STATE"], membersource.FileName))
+		return strings.Contains(string(text), members[0].ID)
+	})
+	relay.kill()
+	return discovery, env
+}
--- a/internal/relay/startup.go
+++ b/internal/relay/startup.go
@@ -15,6 +15,7 @@
 	"troutusher/internal/handover/link"
 	"troutusher/internal/handover/statelock"
 	"troutusher/internal/handover/transfer"
+	"troutusher/internal/membersource"
 	"troutusher/internal/msgtrace"
 	"troutusher/internal/respserver"
 	"troutusher/internal/tlsdial"
@@ -367,7 +368,11 @@
 	if s.members == nil {
 		return nil
 	}
-	s.members.Restore(s.core.SnapshotState(s.now()).EndpointList())
+	start := membersource.Start{List: s.core.SnapshotState(s.now()).EndpointList(), Epoch: s.discovery.FirstEpoch()}
+	if s.cfg.KnownList != nil {
+		start.Watched = s.departures.Mask(s.cfg.KnownList)
+	}
+	s.members.Restore(start)
 	go s.members.Run(s.watchCtx)
 	go s.members.RunHelper(s.watchCtx)
 	return nil
