Core: two endpoints of different destinations at one address both stay in use again

Discovery's list allows calls to both; only up_since_ms, which the relay does not read, tells that another process has started at the address.

--- a/internal/core/endpoint.go
+++ b/internal/core/endpoint.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"log/slog"
 	"slices"
 
 	"troutusher/policy"
@@ -27,19 +26,6 @@
 	retryAfter  policy.Time // end of a Retry-After that applies to no other endpoint; see hasIndependentRoutes
 	lastReplyAt policy.Time // time of the last response of any kind
 	calls       []*Call     // the open calls
-	// supersededBy was listed later at the same address, for another destination; nil for none. See replacement.
-	supersededBy *endpointState
-}
-
-// replacement returns the endpoint of another destination that has taken the place of this one: only one
-// process can listen at an address, and the one that was listed last does. It returns nil if there is none,
-// or if it has left the address.
-func (e *endpointState) replacement() *endpointState {
-	other := e.supersededBy
-	if other == nil || !other.listed || other.retired || other.hostPort != e.hostPort {
-		return nil
-	}
-	return other
 }
 
 // suspectsIdleConnections updates lastReplyAt with the result of a call, and reports whether the
@@ -132,17 +118,9 @@
 func (c *Core) updateEndpoint(member *Member) policy.EndpointUpdate {
 	endpoint := c.endpoints.getOrAdd(member.ID)
 	removed := member.Phase == Removed
-	if member.Phase == Up && endpoint.member == *member && endpoint.replacement() != nil {
-		replaced := *member // the list still has the entry, but another process listens at its address
-		replaced.Phase = Draining
-		return c.endpointUpdate(endpoint, &replaced)
-	}
 	if !removed {
 		c.moveEndpoint(endpoint, member)
 	}
-	if member.Phase == Up && c.listUpdate != nil && !c.listUpdate.complete {
-		c.supersedeOthers(endpoint, member)
-	}
 	if member.Phase == Up && (!endpoint.open || endpoint.retired) {
 		endpoint.open = true
 		c.emit(OpenEndpoint{
@@ -167,31 +145,6 @@
 	return update
 }
 
-// supersedeOthers retires the endpoints of other destinations at the address of an endpoint that a change of the
-// list has named as up. Messages for those destinations would reach the wrong process. A complete list does not
-// tell which of two endpoints at an address is the newer one.
-func (c *Core) supersedeOthers(endpoint *endpointState, member *Member) {
-	var updates []policy.EndpointUpdate
-	for _, other := range c.endpoints.all {
-		if other == endpoint || other.hostPort != member.HostPort || other.dest == member.Dest ||
-			!other.listed || other.retired {
-			continue
-		}
-		other.supersededBy = endpoint
-		c.retireEndpoint(other)
-		replaced := other.member
-		replaced.Phase = Draining
-		updates = append(updates, c.endpointUpdate(other, &replaced))
-		c.log(slog.LevelWarn, "endpoint replaced by one of another destination at its address",
-			"endpoint", other.id, "dest", other.dest, "by", member.ID, "address", member.HostPort)
-	}
-	if len(updates) > 0 {
-		c.policyEvents = append(c.policyEvents, policy.Event{
-			Kind: policy.EvListUpdated, ListUpdate: policy.ListDelta, Updates: updates,
-		})
-	}
-}
-
 // moveEndpoint handles an endpoint that has kept its id but has a new address or destination,
 // or whose identity must now be verified in another way, because its flavor has changed.
 // Identities are verified only if ConnectionCost is set. Nothing more is sent to the old address.
