Policy: an outage belongs to the destination and outlasts its endpoints

A partner that came back cold on machines with new ids got up to 1.4 times the calls at which it falls, from relays that had seen its outage. What a relay knew of an outage was a property of endpoints: one list change takes the old ones out before it adds the new ones, and the new ones started as healthy.

An endpoint that joins a destination now starts with the health of the healthiest endpoint there. The health that the destination had when an endpoint last left counts too, until a listed one fails: so nothing changes for a working partner whose machines are replaced, nor beside a working endpoint. Independent routes are known again by their id. Calls to removed endpoints that fail later count only if they were overdue when the endpoint left.

--- a/cmd/troutusher-kit/learned.go
+++ b/cmd/troutusher-kit/learned.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"os"
@@ -101,7 +102,7 @@
 	var endpoints []string
 	unhealthy := 0
 	for _, endpoint := range limiter.Endpoints {
-		text := names[endpoint.ID]
+		text := cmp.Or(names[endpoint.ID], "(not listed)")
 		switch {
 		case endpoint.Unhealthy:
 			unhealthy++
--- a/internal/core/listupdate.go
+++ b/internal/core/listupdate.go
@@ -95,10 +95,11 @@
 }
 
 // forgetRetired forgets endpoints that were retired long ago, because they would otherwise
-// accumulate in memory. It keeps the endpoints that the current list names.
+// accumulate in memory. It keeps the endpoints that the current list names, and those whose number the
+// policy will need if they return.
 func (c *Core) forgetRetired(named map[string]bool) {
 	c.endpoints.removeFunc(func(endpoint *endpointState) bool {
-		if named[endpoint.id] || !endpoint.mayBeForgotten(c.now) {
+		if named[endpoint.id] || !endpoint.mayBeForgotten(c.now) || c.policy.RemembersRoute(c.now, endpoint.number) {
 			return false
 		}
 		c.emit(ForgetEndpoint{Endpoint: endpoint.number})
--- a/internal/core/packedstate.go
+++ b/internal/core/packedstate.go
@@ -28,6 +28,10 @@
 	Latency      *packedLatency   `cbor:"7,keyasint,omitempty"`
 }
 
+// departedHash takes the place of a hash for the health of endpoints that have left the list, which has the
+// ID 0 in a policy.Snapshot. No endpoint has this hash.
+const departedHash = 0
+
 // packedEndpoint holds the fields of policy.EndpointSnapshot, with a hash in place of the ID. The
 // three fields Budget* hold its RecoveryBudget.
 type packedEndpoint struct {
@@ -77,7 +81,7 @@
 	_, _ = hash.Write([]byte{0})
 	_, _ = hash.WriteString(hostPort)
 	sum := hash.Sum64()
-	return uint32(sum) ^ uint32(sum>>32)
+	return max(uint32(sum)^uint32(sum>>32), departedHash+1)
 }
 
 // encodeTime returns a time relative to now. 0 means none and stays 0. A time equal to now
@@ -120,7 +124,8 @@
 }
 
 // pack encodes the snapshot of a destination. The result is empty if nothing was learned.
-// hashOf returns the hash of an endpoint. Endpoints without a hash are omitted.
+// hashOf returns the hash of an endpoint. Endpoints without a hash are omitted, but not the health of those
+// that have left the list.
 func pack(snapshot *policy.Snapshot, hashOf func(policy.EndpointID) (uint32, bool)) ([]byte, error) {
 	if len(snapshot.Limiters) == 0 {
 		return nil, nil
@@ -135,7 +140,11 @@
 		}
 		for j := range limiter.Endpoints {
 			endpoint := &limiter.Endpoints[j]
-			if hash, ok := hashOf(endpoint.ID); ok {
+			hash, ok := hashOf(endpoint.ID)
+			if endpoint.ID == 0 {
+				hash, ok = departedHash, true
+			}
+			if ok {
 				packed.Endpoints = append(packed.Endpoints, packEndpoint(state.Now, hash, endpoint))
 			}
 		}
--- a/policy/aging.go
+++ b/policy/aging.go
@@ -89,8 +89,7 @@
 	if destination == nil {
 		return passivated
 	}
-	for _, limiter := range destination.limiters {
-		stored := limiter.snapshot(e.now)
+	for _, stored := range e.limiterSnapshots(destination, e.now) {
 		stored.Bins = nil
 		stored.HistoryStart = 0
 		stored.Window = 1
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"maps"
 	"math"
 	"slices"
 )
@@ -22,9 +23,9 @@
 		e.activate(event)
 	}
 	if event.ListUpdate == ListFull || event.ListUpdate == ListCached {
-		for id, endpoint := range e.endpoints { // in any order: the removals are independent
+		for _, id := range slices.Sorted(maps.Keys(e.endpoints)) {
 			if !listed[id] {
-				e.removeEndpoint(endpoint)
+				e.removeEndpoint(e.endpoints[id])
 			}
 		}
 	}
@@ -43,7 +44,8 @@
 	if update.State == Gone {
 		return
 	}
-	if endpoint == nil || endpoint.state == Gone { // one that is gone is kept only for its Retry-After
+	added := endpoint == nil || endpoint.state == Gone
+	if added { // one that is gone is kept only for its Retry-After
 		kept := e.endpoints[update.Endpoint]
 		endpoint = e.addEndpoint(update)
 		if kept != nil && endpoint.limiter.destination.kind.IndependentRoutes {
@@ -60,6 +62,9 @@
 	if !limiter.tokens.used && e.exceedsEvenShare(limiter) {
 		limiter.tokens = tokenBucket{e.now, 1, true} // full buckets would make a starting fleet send a burst
 	}
+	if added {
+		e.takeOverHealth(endpoint)
+	}
 	e.markDirty(limiter.destination)
 }
 
@@ -67,6 +72,9 @@
 // route with a Retry-After in force, its entry in Engine.endpoints stays until the Retry-After is over, so
 // that the Retry-After still holds if the endpoint returns to the list.
 func (e *Engine) removeEndpoint(removed *endpoint) {
+	if removed.state != Gone {
+		e.rememberHealth(removed)
+	}
 	removed.state = Gone
 	limiter := removed.limiter
 	mustWait := limiter.destination.kind.IndependentRoutes && limiter.retryAfterUntil > e.now
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -14,6 +14,7 @@
 //   - ordering.go: the order of waiting messages by the weight that they lose, and the time of the next call
 //   - outcome.go: the effect of an attempt's outcome on its message, its call, its endpoint and its limiter
 //   - connection.go: the cost of connections, endpoints that run out of them, and how long idle ones are kept
+//   - outage.go: outages across changes of the endpoint list
 //   - recovery.go: ejection of unhealthy endpoints, and the ramp and budget of their recovery
 //   - ratelimit.go: adaptive throttling, the window of calls in flight, and the rate of each limiter
 //   - aging.go: what remains of learned state after a restart or a long idle time
--- a/policy/recovery.go
+++ b/policy/recovery.go
@@ -19,7 +19,9 @@
 func (e *Engine) recordSuccess(answered *endpoint, sentAt Time) {
 	answered.failureScore *= failureScoreDecay
 	answered.lastSuccessAt = e.now
-	if !answered.ejected() || sentAt < answered.lastFailureAt {
+	answered.limiter.answeredSentAt = max(answered.limiter.answeredSentAt, sentAt)
+	hasLeft := answered.state == Gone // then it says nothing about those that have taken its place
+	if hasLeft || !answered.ejected() || sentAt < answered.lastFailureAt {
 		return
 	}
 	outageStart := answered.firstFailureAt
@@ -40,13 +42,17 @@
 // unhealthy, each failure starts a backoff in proportion to the time since the first one. silent
 // means that the call got no answer.
 func (e *Engine) recordFailure(failed *endpoint, sentAt Time, silent bool) {
+	if failed.state == Gone {
+		e.recordLateFailure(failed, sentAt, silent)
+		return
+	}
 	if failed.recoveredAt > 0 && sentAt < failed.recoverySentAt {
 		return // the call was sent before the recovery
 	}
 	if failed.lastFailureAt <= failed.lastSuccessAt {
 		failed.firstFailureAt = e.now
 	}
-	failed.failureScore = failed.failureScore*failureScoreDecay + 1 - failureScoreDecay
+	failed.addFailure()
 	mostFail := failed.failureScore >= unhealthyScore
 	if failed.recoveredAt == 0 || mostFail { // while most calls succeed, a failure does not end the ramp
 		failed.recoveredAt = 0
@@ -73,8 +79,13 @@
 	e.logf("dest %d: seen failing, trial calls", failed.limiter.destination.id)
 }
 
+// addFailure adds a failed call to the failure score.
+func (h *health) addFailure() {
+	h.failureScore = h.failureScore*failureScoreDecay + 1 - failureScoreDecay
+}
+
 // ejected reports whether an endpoint is unhealthy and has had no success since.
-func (ep *endpoint) ejected() bool { return ep.unhealthy && ep.recoveredAt == 0 }
+func (h *health) ejected() bool { return h.unhealthy && h.recoveredAt == 0 }
 
 // excluded reports whether an endpoint may get no call at all, whatever its recovery budget. Its
 // backoff applies only until it is unhealthy; from then on the recovery budget limits the calls.
@@ -112,15 +123,21 @@
 	return endpoint.recoveryBudget.level(e.now, budget.rate, budget.depth) >= budget.cost
 }
 
-// rampedCapacity returns the share of its full capacity that an endpoint has now, and marks the
-// endpoint healthy at the end of its ramp.
-func (e *Engine) rampedCapacity(endpoint *endpoint) float64 {
+// capacityShare returns the share of its full capacity that an unhealthy endpoint has now: 1 or more if its
+// ramp is over.
+func (e *Engine) capacityShare(known *health) float64 {
 	share := e.settings.InitialCapacity
-	if endpoint.recoveredAt == 0 {
+	if known.recoveredAt == 0 {
 		return share
 	}
-	share += (1 - share) * float64(e.now-endpoint.recoveredAt) / float64(max(e.settings.RampDuration, 1))
-	if share >= 1 {
+	return share + (1-share)*float64(e.now-known.recoveredAt)/float64(max(e.settings.RampDuration, 1))
+}
+
+// rampedCapacity returns the share of its full capacity that an endpoint has now, and marks the
+// endpoint healthy at the end of its ramp.
+func (e *Engine) rampedCapacity(endpoint *endpoint) float64 {
+	share := e.capacityShare(&endpoint.health)
+	if share >= 1 && endpoint.recoveredAt > 0 {
 		if endpoint.unhealthy && endpoint.connectCost > 0 { // messages held back would be sent in one burst
 			endpoint.limiter.tokens = tokenBucket{e.now, 0, true}
 		}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -168,41 +168,54 @@
 	}
 }
 
-// snapshot returns the learned health of an endpoint.
+// snapshot returns the learned health of an endpoint, and its latency.
 func (ep *endpoint) snapshot() EndpointSnapshot {
-	return EndpointSnapshot{
-		ID:                ep.id,
-		BackoffUntil:      ep.backoffUntil,
-		FailureScore:      ep.failureScore,
-		Unhealthy:         ep.unhealthy,
-		FirstFailureAt:    ep.firstFailureAt,
-		LastFailureAt:     ep.lastFailureAt,
-		RecoveredAt:       ep.recoveredAt,
-		RecoverySentAt:    ep.recoverySentAt,
-		LastSuccessAt:     ep.lastSuccessAt,
-		RecoveryBudget:    ep.recoveryBudget.snapshot(),
-		RequiredTokens:    ep.requiredTokens,
-		LastFailureSilent: ep.lastFailureSilent,
-		Latency:           ep.latency.snapshot(),
-	}
+	stored := ep.health.snapshot()
+	stored.ID = ep.id
+	stored.Latency = ep.latency.snapshot()
+	return stored
 }
 
-// restore loads the learned health of an endpoint; shift converts its times to this engine's clock.
+// restore loads the learned health of an endpoint, and its latency; shift converts its times to this engine's clock.
 func (ep *endpoint) restore(stored *EndpointSnapshot, shift Time) {
-	ep.backoffUntil = shiftTime(stored.BackoffUntil, shift)
-	ep.failureScore = stored.FailureScore
-	ep.unhealthy = stored.Unhealthy
-	ep.firstFailureAt = shiftTime(stored.FirstFailureAt, shift)
-	ep.lastFailureAt = shiftTime(stored.LastFailureAt, shift)
-	ep.recoveredAt = shiftTime(stored.RecoveredAt, shift)
-	ep.recoverySentAt = shiftTime(stored.RecoverySentAt, shift)
-	ep.lastSuccessAt = shiftTime(stored.LastSuccessAt, shift)
-	ep.recoveryBudget = stored.RecoveryBudget.restore(shift)
-	ep.requiredTokens = stored.RequiredTokens
-	ep.lastFailureSilent = stored.LastFailureSilent
+	ep.health = stored.restoreHealth(shift)
 	ep.latency = stored.Latency.restore()
 }
 
+// snapshot returns the stored form of an endpoint's health. It has the ID 0, which no endpoint has.
+func (h *health) snapshot() EndpointSnapshot {
+	return EndpointSnapshot{
+		BackoffUntil:      h.backoffUntil,
+		FailureScore:      h.failureScore,
+		Unhealthy:         h.unhealthy,
+		FirstFailureAt:    h.firstFailureAt,
+		LastFailureAt:     h.lastFailureAt,
+		RecoveredAt:       h.recoveredAt,
+		RecoverySentAt:    h.recoverySentAt,
+		LastSuccessAt:     h.lastSuccessAt,
+		RecoveryBudget:    h.recoveryBudget.snapshot(),
+		RequiredTokens:    h.requiredTokens,
+		LastFailureSilent: h.lastFailureSilent,
+	}
+}
+
+// restoreHealth returns the health of a stored form; shift converts its times to this engine's clock.
+func (s *EndpointSnapshot) restoreHealth(shift Time) health {
+	return health{
+		backoffUntil:      shiftTime(s.BackoffUntil, shift),
+		failureScore:      s.FailureScore,
+		unhealthy:         s.Unhealthy,
+		firstFailureAt:    shiftTime(s.FirstFailureAt, shift),
+		lastFailureAt:     shiftTime(s.LastFailureAt, shift),
+		recoveredAt:       shiftTime(s.RecoveredAt, shift),
+		recoverySentAt:    shiftTime(s.RecoverySentAt, shift),
+		lastSuccessAt:     shiftTime(s.LastSuccessAt, shift),
+		recoveryBudget:    s.RecoveryBudget.restore(shift),
+		requiredTokens:    s.RequiredTokens,
+		lastFailureSilent: s.LastFailureSilent,
+	}
+}
+
 // Snapshot returns what the engine has learned.
 func (e *Engine) Snapshot(now Time) *Snapshot {
 	snapshot := &Snapshot{
@@ -214,13 +227,31 @@
 		snapshot.TenantQuotas = append(snapshot.TenantQuotas, quota.snapshot())
 	}
 	for _, destination := range e.destinations {
-		for _, limiter := range destination.limiters {
-			snapshot.Limiters = append(snapshot.Limiters, limiter.snapshot(now))
-		}
+		snapshot.Limiters = append(snapshot.Limiters, e.limiterSnapshots(destination, now)...)
 	}
 	return snapshot
 }
 
+// limiterSnapshots returns the learned state of a destination's limiters. The first one also has the health of the
+// endpoints that have left the list, if it matters.
+func (e *Engine) limiterSnapshots(destination *destination, now Time) []LimiterSnapshot {
+	var stored []LimiterSnapshot
+	for _, limiter := range destination.limiters {
+		stored = append(stored, limiter.snapshot(now))
+	}
+	departed := e.departedSnapshot(destination)
+	if departed == nil {
+		return stored
+	}
+	if len(stored) == 0 {
+		empty := newLimiter(destination)
+		empty.tokens = tokenBucket{now, 1, true}
+		stored = append(stored, empty.snapshot(now))
+	}
+	stored[0].Endpoints = append(stored[0].Endpoints, *departed)
+	return stored
+}
+
 // LoadSnapshot loads what another engine has learned. Endpoints that this engine does not know from the list are
 // skipped. shift converts the snapshot's times to this engine's clock. What this engine has learned itself of the
 // endpoints in the snapshot is overwritten, so it is meant for a new engine.
@@ -242,31 +273,36 @@
 func (e *Engine) loadLimiters(snapshot *Snapshot, shift Time) {
 	for i := range snapshot.Limiters {
 		stored := &snapshot.Limiters[i]
-		if limiter := e.loadEndpoints(stored, shift); limiter != nil {
-			limiter.restore(stored, shiftTime(snapshot.Now, shift), shift)
+		storedAt := shiftTime(snapshot.Now, shift)
+		limiter, restored := e.loadEndpoints(stored, shift)
+		if limiter != nil {
+			limiter.restore(stored, storedAt, shift)
 			e.markDirty(limiter.destination)
 		}
+		e.loadOutage(stored, storedAt, shift, restored)
 	}
 }
 
 // loadEndpoints loads the endpoints of a limiter that this engine knows, and returns the limiter that they belong to
 // now. If it knows none of them, it returns the limiter of the whole destination, whose limits hold for its new
-// endpoints too; nil if the destination is unknown or has independent routes.
-func (e *Engine) loadEndpoints(stored *LimiterSnapshot, shift Time) *limiter {
-	var found *limiter
+// endpoints too; nil if the destination is unknown or has independent routes. restored holds the ids of the endpoints
+// that it has loaded.
+func (e *Engine) loadEndpoints(stored *LimiterSnapshot, shift Time) (found *limiter, restored map[EndpointID]bool) {
+	restored = map[EndpointID]bool{}
 	for i := range stored.Endpoints {
 		endpoint := e.endpoints[stored.Endpoints[i].ID]
 		if endpoint != nil && endpoint.limiter.destination.id == stored.Destination {
 			found = cmp.Or(found, endpoint.limiter)
 			endpoint.restore(&stored.Endpoints[i], shift)
+			restored[endpoint.id] = true
 		}
 	}
 	if found != nil {
-		return found
+		return found, restored
 	}
 	destination := e.findDestination(stored.Destination)
 	if destination == nil || destination.kind.IndependentRoutes || len(destination.limiters) == 0 {
-		return nil
+		return nil, restored
 	}
-	return destination.limiters[0]
+	return destination.limiters[0], restored
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -9,8 +9,9 @@
 	settings             Settings
 	rng                  *rand.Rand
 	now                  Time
-	actions              []Action       // of the current step
-	destinations         []*destination // sorted by id
+	actions              []Action        // of the current step
+	destinations         []*destination  // sorted by id
+	departedRoutes       []departedRoute // oldest first, at most maxDepartedRoutes
 	endpoints            map[EndpointID]*endpoint
 	messages             map[uint32]*message
 	pending              pendingMessages // messages that have not ended
@@ -45,6 +46,7 @@
 	kind          DestinationKind
 	kindIndex     int // index of kind in Settings.DestinationKinds
 	limiters      []*limiter
+	departed      *departedHealth // of the endpoints that have left the list; nil if none have, or if they are routes
 	queue         []*message
 	callsInFlight int
 	dirty         bool
@@ -62,6 +64,7 @@
 	destination      *destination
 	endpoints        []*endpoint
 	history          slidingCounter
+	answeredSentAt   Time    // when the latest of the calls that have succeeded was sent
 	window           float64 // calls that may be in flight
 	callsInFlight    int
 	retryAfterUntil  Time
@@ -80,29 +83,38 @@
 
 // endpoint is one address of a destination, with the health that this relay has observed.
 type endpoint struct {
+	health
+
 	id                    EndpointID
 	zone                  int
 	limiter               *limiter
 	state                 Readiness
 	callsInFlight         int
 	connections           int  // open connections, as far as the engine knows
-	backoffUntil          Time // end of the backoff of an endpoint that fails but is not unhealthy
 	idleSince             Time // end of the last call
 	idleCheckScheduled    bool
-	failureScore          float64 // exponentially smoothed share of failures, 0 to 1
-	unhealthy             bool    // ejected until a call succeeds, then recovering until the ramp is over
-	firstFailureAt        Time
-	lastFailureAt         Time
-	recoveredAt           Time // start of the recovery ramp; 0 if there was no success since the last failure
-	recoverySentAt        Time // when the call whose success started the ramp was sent
-	lastSuccessAt         Time
-	recoveryBudget        tokenBucket
-	requiredTokens        float64 // tokens that the next call takes from the budget
 	connectFailedAt       Time    // when a call last got no connection; 0 once a call in flight then has been answered
-	lastFailureSilent     bool    // the last failure was one without an answer
 	connectCost           float64 // cost of opening a connection, in calls
 	identityRejectedUntil Time
 	latency               latencyEstimate
+	removedAt             Time // when it was removed from the list
+	answeredSentAt        Time // limiter.answeredSentAt at that time
+}
+
+// health is what this relay knows of the failures and the recovery of an endpoint. The endpoints of a
+// destination share their outages, unless they are independent routes; see outage.go.
+type health struct {
+	backoffUntil      Time    // end of the backoff of an endpoint that fails but is not unhealthy
+	failureScore      float64 // exponentially smoothed share of failures, 0 to 1
+	unhealthy         bool    // ejected until a call succeeds, then recovering until the ramp is over
+	firstFailureAt    Time
+	lastFailureAt     Time
+	lastFailureSilent bool // the last failure was one without an answer
+	recoveredAt       Time // start of the recovery ramp; 0 if there was no success since the last failure
+	recoverySentAt    Time // when the call whose success started the ramp was sent
+	lastSuccessAt     Time
+	recoveryBudget    tokenBucket
+	requiredTokens    float64 // tokens that the next call takes from the budget
 }
 
 // message is pending until it ends, and known until its last attempt is over.
