Departures: a later process of another destination takes over an address

What callers saw: messages for one destination reached the process of another, which had started at the address of an endpoint that had gone, if no list told of the departure. Cause: the relay did not read up_since_ms, when an endpoint last started. Now the list's later start wins an address over an earlier one of another destination; the displaced endpoint is a departure like any other, kept by the log. Equal starts, or one destination, stay: one process may serve both.

Stored forms are as before: the start is not stored. Two tests of stored forms skip fields with the key "-", which are not stored; what they compare is unchanged. The start is decoded in registrylist, since the core imports no JSON.

--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -8,7 +8,7 @@
 	"net"
 	"strconv"
 
-	"troutusher/internal/core"
+	"troutusher/internal/registrylist"
 	"troutusher/internal/settings"
 	"troutusher/internal/wire"
 )
@@ -31,7 +31,7 @@
 	State     string             `json:"state"`
 	Seed      json.RawMessage    `json:"seed"`
 	Limits    Limits             `json:"limits"`
-	Known     *core.EndpointList `json:"known"`
+	Known     *registrylist.List `json:"known"`
 	Settings  json.RawMessage    `json:"settings"`
 }
 
@@ -62,7 +62,7 @@
 		Discovery: f.Discovery,
 		Console:   f.Console,
 		State:     f.State,
-		KnownList: f.Known,
+		KnownList: f.Known.EndpointList(),
 	}
 	var err error
 	if c.Seed, err = parseSeed(f.Seed); err != nil {
--- a/internal/core/fixtures_test.go
+++ b/internal/core/fixtures_test.go
@@ -48,7 +48,7 @@
 	t.Fatalf("%s: got %d lines, want %d", path, len(gotLines), len(wantLines))
 }
 
-// fillFields sets every exported field, in the order of declaration, to a value derived from a
+// fillFields sets every exported field that is stored, in the order of declaration, to a value derived from a
 // counter, so that each field gets a different value.
 func fillFields(v reflect.Value, next *int) {
 	*next++
@@ -58,7 +58,7 @@
 		fillFields(v.Elem(), next)
 	case reflect.Struct:
 		for i := range v.NumField() {
-			if v.Field(i).CanSet() {
+			if v.Field(i).CanSet() && v.Type().Field(i).Tag.Get("json") != "-" {
 				fillFields(v.Field(i), next)
 			}
 		}
--- a/internal/departures/departures.go
+++ b/internal/departures/departures.go
@@ -2,7 +2,8 @@
 // process that starts with an older endpoint list does not call them.
 //
 // An endpoint departs if a list says that it drains, that it is removed or that it has moved to
-// another address. Each change of this kind, and the return of such an endpoint, becomes a record
+// another address, or if another process has started at its address since and serves another
+// destination. Each change of this kind, and the return of such an endpoint, becomes a record
 // of the write-ahead log as soon as the list is received: the saved policy state, which has the
 // list too, is written at a limited rate. After a restart Mask applies the records to the lists
 // that the process starts with.
@@ -24,19 +25,24 @@
 	// for a new one: the lists that a start uses are unlikely to be that old.
 	maxRecords = 2048
 	// maxTracked is the maximum number of endpoints whose addresses are kept. An endpoint beyond it
-	// departs unnoticed if it moves, or if a complete list leaves it out.
+	// departs unnoticed if it moves, if a complete list leaves it out, or if it is displaced.
 	maxTracked = 8192
 )
 
 // Set holds what a relay has heard of departed endpoints. It is not safe for concurrent use.
 type Set struct {
-	changed   map[string]*core.Record // records of kind RecordEndpoint, by endpoint ID
-	addresses map[string]string       // of endpoints that are up, by ID
+	changed   map[string]*core.Record    // records of kind RecordEndpoint, by endpoint ID
+	endpoints map[string]trackedEndpoint // those that are up, by ID
+	displaced map[string]displacement    // those that a registry may still list as up, by ID
 }
 
 // New returns a set with the records that an earlier process has logged.
 func New(logged []*core.Record) *Set {
-	s := &Set{changed: map[string]*core.Record{}, addresses: map[string]string{}}
+	s := &Set{
+		changed:   map[string]*core.Record{},
+		endpoints: map[string]trackedEndpoint{},
+		displaced: map[string]displacement{},
+	}
 	for _, record := range logged {
 		s.changed[record.ID] = record
 	}
@@ -46,11 +52,15 @@
 // Mask returns a list that a process starts with, in which the endpoints that have departed since
 // are draining. Records that are older than the list are not applied, because the list is newer.
 func (s *Set) Mask(list *core.EndpointList) *core.EndpointList {
+	displaced := s.displacedIn(list, true)
 	masked := *list
 	masked.Members = slices.Clone(list.Members)
 	for i := range masked.Members {
 		member := &masked.Members[i]
 		record := s.changed[member.ID]
+		if _, ok := displaced[member.ID]; ok {
+			member.Phase = core.Draining
+		}
 		if record != nil && record.Revision >= list.Revision && record.Address != member.HostPort {
 			member.Phase = core.Draining
 		}
@@ -63,14 +73,15 @@
 func (s *Set) Track(list *core.EndpointList) {
 	for i := range list.Members {
 		if member := &list.Members[i]; member.Check() == nil && member.Phase == core.Up {
-			s.track(member)
+			unstated := member.StartedAt == 0
+			s.track(member.ID, trackedEndpoint{member.HostPort, member.Dest, member.StartedAt, unstated})
 		}
 	}
 }
 
-func (s *Set) track(member *core.Member) {
-	if _, tracked := s.addresses[member.ID]; tracked || len(s.addresses) < maxTracked {
-		s.addresses[member.ID] = member.HostPort
+func (s *Set) track(id string, endpoint trackedEndpoint) {
+	if _, tracked := s.endpoints[id]; tracked || len(s.endpoints) < maxTracked {
+		s.endpoints[id] = endpoint
 	}
 }
 
@@ -86,11 +97,11 @@
 			records = append(records, s.remove(member.ID, list.Revision)...)
 			continue
 		}
-		address, tracked := s.addresses[member.ID]
-		if s.changed[member.ID] != nil || tracked && address != member.HostPort {
+		earlier, tracked := s.endpoints[member.ID]
+		if s.changed[member.ID] != nil || tracked && earlier.address != member.HostPort {
 			records = append(records, s.change(member.ID, member.HostPort, list.Revision)...)
 		}
-		s.track(member)
+		s.track(member.ID, s.stated(member, complete))
 	}
 	return records
 }
@@ -101,7 +112,7 @@
 	for i := range list.Members {
 		named[list.Members[i].ID] = true
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.addresses)) {
+	for _, id := range slices.Sorted(maps.Keys(s.endpoints)) {
 		if !named[id] {
 			records = append(records, s.remove(id, list.Revision)...)
 		}
@@ -111,7 +122,7 @@
 
 // remove records that an endpoint may not be called at any address.
 func (s *Set) remove(id string, revision int64) (records []*core.Record) {
-	delete(s.addresses, id)
+	delete(s.endpoints, id)
 	return s.change(id, "", revision)
 }
 
--- a/internal/discovery/decoder.go
+++ b/internal/discovery/decoder.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"troutusher/internal/core"
+	"troutusher/internal/registrylist"
 )
 
 // errMalformed reports a list that cannot be decoded or is too long.
@@ -33,10 +34,11 @@
 
 // decodeList decodes and validates one list, complete or a change.
 func decodeList(text []byte) (*core.EndpointList, error) {
-	list := &core.EndpointList{}
-	if err := json.Unmarshal(text, list); err != nil {
+	var decoded registrylist.List
+	if err := json.Unmarshal(text, &decoded); err != nil {
 		return nil, fmt.Errorf("discovery: decode list: %w", err)
 	}
+	list := decoded.EndpointList()
 	if list.Members == nil {
 		return nil, errors.New("discovery: list has no field members")
 	}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -25,6 +25,9 @@
 	Dest     int     `json:"cell"`     // number of its destination
 	Phase    string  `json:"phase"`
 	Rate     float64 `json:"size"` // calls per second that its destination accepts; 0 if not stated
+	// StartedAt is when its process last started, in ms since the Unix epoch; 0 for long ago. Only a registry's
+	// list has it, as up_since_ms; it is not stored.
+	StartedAt int64 `json:"-"`
 }
 
 // Check returns an error if the member is invalid.
--- a/internal/policystate/format_test.go
+++ b/internal/policystate/format_test.go
@@ -71,6 +71,9 @@
 	case reflect.Struct:
 		for i := range v.NumField() {
 			key, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ",")
+			if key == "-" { // not stored
+				continue
+			}
 			key = strings.Trim(path+"."+key, ".") // an embedded struct has no key of its own
 			unset = append(unset, unsetKeys(v.Field(i), key)...)
 		}
--- a/internal/relay/eventloop.go
+++ b/internal/relay/eventloop.go
@@ -31,21 +31,24 @@
 func (r *Relay) observe(lists []core.EndpointListUpdated) {
 	events := make([]core.Event, 0, len(lists))
 	for _, list := range lists {
-		r.logDepartures(list)
-		events = append(events, list)
+		events = append(events, r.applyDepartures(list))
 	}
 	r.execute(r.core.Observe(r.now(), events, r.effects[:0]))
 }
 
-// logDepartures writes to the log which endpoints have departed with a list, so that a later
-// process of this relay, which may start with an older list, does not call them either.
-func (r *Relay) logDepartures(update core.EndpointListUpdated) {
+// applyDepartures returns a list without the endpoints that have departed though the list has them as up. It
+// writes to the log which endpoints have departed with the list, so that a later process of this relay, which
+// may start with an older list, does not call them either.
+func (r *Relay) applyDepartures(update core.EndpointListUpdated) core.EndpointListUpdated {
 	if update.Kind == policy.ListCached { // read by departures.Set.Mask
-		return
+		return update
 	}
-	for _, record := range r.departures.Observe(update.List, update.Kind == policy.ListFull) {
+	complete := update.Kind == policy.ListFull
+	update.List = r.departures.Resolve(update.List, complete)
+	for _, record := range r.departures.Observe(update.List, complete) {
 		r.wal.Submit(record, nil)
 	}
+	return update
 }
 
 // eventLoop passes events to the core and executes the core's effects. No other
@@ -120,7 +123,7 @@
 			r.pendingHandover = input.handover // acceptHandovers passes one at a time
 		case input.event != nil:
 			if list, ok := input.event.(core.EndpointListUpdated); ok {
-				r.logDepartures(list)
+				input.event = r.applyDepartures(list)
 			}
 			r.events = append(r.events, input.event)
 		}
