Emulator: the capacity of an endpoint until its crash counts toward an overload

What was reported: a partner that was coming back cold was pushed over. Cause: the calls that an endpoint had got in the last 2 s counted after its crash, its capacity did not. The check is as strict: TestCapacityBeforeCrashCounts, which failed before, also wants a collapse if the load goes on at the endpoint that is left.

--- a/internal/emulator/endpoint/faults.go
+++ b/internal/emulator/endpoint/faults.go
@@ -13,7 +13,11 @@
 	m.Advance(now)
 	e := m.endpoints[endpoint]
 	e.advanceWork(m.now)
+	wasDown := e.isDown()
 	e.faults = append(e.faults, fault)
+	if e.isDown() && !wasDown {
+		e.stoppedAt = m.now
+	}
 	if fault.causesOutage() {
 		e.activeOutages++
 		e.warmingUp = false
--- a/internal/emulator/endpoint/model.go
+++ b/internal/emulator/endpoint/model.go
@@ -69,6 +69,7 @@
 	activeOutages     int     // number of active faults that cause an outage
 	warmingUp         bool
 	recoveredAt       Time         // when the last outage or planned stop ended
+	stoppedAt         Time         // when it last went down
 	collapsed         bool         // it was overloaded while it warmed up, and never serves again
 	group             *warmUpGroup // the endpoints that collapse together with it
 	limiter           *rateLimiter
--- a/internal/emulator/endpoint/model_test.go
+++ b/internal/emulator/endpoint/model_test.go
@@ -352,6 +352,45 @@
 	}
 }
 
+// Guards against a collapse by calls that another endpoint of the destination served before it crashed: its
+// capacity until then counts as they do. If the load goes on at the other endpoint alone, that one collapses.
+func TestCapacityBeforeCrashCounts(t *testing.T) {
+	for _, overload := range []bool{false, true} {
+		s := warmUpSpec()
+		s.Endpoints = 2
+		h := newHarness(t, Rules{}, s)
+		f, crash := &Fault{Kind: RejectAll}, &Fault{Kind: Crash}
+		for endpoint := range 2 {
+			h.model.InjectFault(0, endpoint, f)
+		}
+		h.advanceTo(sec)
+		for endpoint := range 2 {
+			h.model.ClearFault(h.now, endpoint, f)
+		}
+		// After 5 s each endpoint can serve 13 calls/s, and bears 1.5 times that.
+		callsUntil := func(end Time, rate, endpoints int) {
+			for i := 0; h.now < end; i++ {
+				h.call(i%endpoints, 0, "")
+				h.advanceTo(h.now + sec/Time(rate))
+			}
+		}
+		callsUntil(4*sec, 20, 2)
+		callsUntil(6*sec, 32, 2)
+		h.model.InjectFault(h.now, 0, crash)
+		rate := 16
+		if overload {
+			rate = 32
+		}
+		for end := h.now + 3*sec; h.now < end; {
+			h.call(1, 0, "")
+			h.advanceTo(h.now + sec/Time(rate))
+		}
+		if got := h.model.endpoints[1].collapsed; got != overload {
+			t.Errorf("%d calls/s at the endpoint that is left: collapsed = %v, want %v", rate, got, overload)
+		}
+	}
+}
+
 // Guards what each kind of fault does to a call: the status of its response, and whether it takes effect
 // during the fault, only after it, or never. After the fault, calls are served as before.
 func TestEachFault(t *testing.T) {
--- a/internal/emulator/endpoint/warmup.go
+++ b/internal/emulator/endpoint/warmup.go
@@ -110,7 +110,13 @@
 func (e *endpoint) capacityShareIntegral(from, to Time) float64 {
 	switch {
 	case e.isDown():
-		return 0
+		to = min(to, e.stoppedAt)
+		if to <= from {
+			return 0
+		}
+		if e.recoveredAt == 0 {
+			return float64(to - from)
+		}
 	case !e.warmingUp:
 		return float64(to - from)
 	}
