Membership: the drain of an endpoint that only another source lists takes effect

What callers saw: `troutusher publish drain` of an endpoint that discovery lists and etcd does not succeeded, and the relays went on calling it. Cause: etcd's table made a removal of such a drain, and the view ignores the removal of an entry that it never had. Now an update names these drains, and the view keeps them for each source until the source says otherwise; they are saved as a new optional key of the members file.

--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -7,7 +7,8 @@
 
 // Apply applies an update to the view. It rejects an update whose revision is out of date or whose
 // base list is not known. Otherwise it records the unreadable entries, then the drains, then the
-// listed members, and last the removals that need no confirmation. It holds the other removals.
+// listed members, then the removals that need no confirmation, and last the drains of endpoints that the source
+// does not list. It holds the other removals.
 func (v *View) Apply(now Time, u *Update) Verdict {
 	v.now = max(v.now, now)
 	t := &v.sources[u.Source]
@@ -26,6 +27,7 @@
 	v.markUnreadable(u)
 	v.applyDrains(u)
 	held := v.applyRemovals(u, v.listMembers(u))
+	v.updateDrainedOnly(u)
 	if becameFresh {
 		v.reevaluateSource(u.Source)
 	}
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -66,6 +66,7 @@
 	fresh        bool              // it was heard within its StaleAfter
 	listedCount  int               // number of entries that the source lists
 	entries      map[string]*entry // by the source's own id
+	drainedOnly  map[string]bool   // ids that the source drains and does not list
 
 	// Removals in the current window.
 	windowStart    Time // 0 if there is no window
@@ -77,6 +78,7 @@
 
 const (
 	maxFormerEpochs = 8     // remembered per source
+	maxDrainedOnly  = 65536 // remembered per source
 	maxRemovals     = 65536 // remembered for all sources together
 )
 
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -1,10 +1,11 @@
 package membership
 
 // mergedMember merges the states of one of the view's endpoints in all sources. The rate comes from
-// the first fresh source that states one, the phase from the source whose phase ranks highest, and
-// the rest from the first fresh source that lists the endpoint. If no such source is fresh, a stale
-// one is used. It also returns the source that decided the phase, -1 for none. If no source lists
-// the endpoint, or one has removed it, the member's phase is Removed and ok is false.
+// the first fresh source that states one, the phase from the source whose phase ranks highest, or that
+// drains the endpoint without listing it, and the rest from the first fresh source that lists the
+// endpoint. If no such source is fresh, a stale one is used. It also returns the source that decided
+// the phase, -1 for none. If no source lists the endpoint, or one has removed it, the member's phase is
+// Removed and ok is false.
 func (v *View) mergedMember(id string) (m Member, decidedBy int, ok bool) {
 	// Of the entries that list the endpoint: the first one, the first one of a fresh source, and the
 	// one that gives the rate.
@@ -43,6 +44,9 @@
 	if rated != nil {
 		m.Rate = rated.Rate
 	}
+	if source := v.drainedBy(id); source >= 0 && highestRank < phaseRank(Draining) {
+		highestRank, decidedBy = phaseRank(Draining), source
+	}
 	if highestRank == phaseRank(Draining) {
 		m.Phase = Draining
 	}
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -18,6 +18,7 @@
 	Revision int64        `json:"revision"`
 	Updates  int64        `json:"words"` // number of accepted updates
 	Entries  []EntryState `json:"entries"`
+	Drained  []string     `json:"drained,omitempty"` // ids that the source drains and does not list
 }
 
 // EntryState is the saved state of an entry: one id in the list of a source.
@@ -39,6 +40,7 @@
 		}
 		source := SourceState{
 			Name: v.settings.Sources[i].Name, Epoch: t.epoch, Revision: t.revision, Updates: t.updates,
+			Drained: sortedKeys(t.drainedOnly),
 		}
 		for _, id := range sortedKeys(t.entries) {
 			e := t.entries[id]
@@ -95,6 +97,11 @@
 		}
 		v.updateEntry(e, saved.Member)
 	}
+	for _, id := range imported.Drained {
+		if e := t.entries[id]; e == nil || !e.listed() {
+			v.setDrainedOnly(source, id, true)
+		}
+	}
 }
 
 // importable reports whether a saved entry has a known phase and, if it is removed, whether the removal
--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -9,7 +9,7 @@
 	Resync        bool     `json:"anew,omitempty"`    // a complete list that was read after the view requested a resync
 	Members       []Member `json:"members,omitempty"` // in a change, also the removed ones
 	UnreadableIDs []string `json:"spoilt,omitempty"`  // entries that cannot be decoded; they keep their last state
-	DrainedIDs    []string `json:"drained,omitempty"` // entries that drain and are not among Members
+	DrainedIDs    []string `json:"drained,omitempty"` // ids that drain and that Members does not list
 }
 
 // Verdict is the result of applying an update.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -34,7 +34,7 @@
 		published: map[string]*publishedMember{},
 	}
 	for i := range v.sources {
-		v.sources[i].entries = map[string]*entry{}
+		v.sources[i].entries, v.sources[i].drainedOnly = map[string]*entry{}, map[string]bool{}
 	}
 	return v, nil
 }
--- a/internal/source/etcd/table.go
+++ b/internal/source/etcd/table.go
@@ -149,21 +149,23 @@
 
 // addMembers adds endpoints to an update. It lists endpoints whose value cannot be decoded
 // as unreadable, which makes the view keep their previous state. Their drains still apply,
-// because a drain has a key of its own.
+// because a drain has a key of its own, and so does the drain of an endpoint that is not
+// published here: another source may list it.
 func (t *keyTable) addMembers(ids idSet, u *membership.Update) {
 	for _, id := range slices.Sorted(maps.Keys(ids)) {
-		if !t.unreadable[id] {
-			u.Members = append(u.Members, t.member(id))
-			continue
-		}
-		if t.drains[id] {
+		_, published := t.endpoints[id]
+		if t.drains[id] && (!published || t.unreadable[id]) {
 			u.DrainedIDs = append(u.DrainedIDs, id)
 		}
-		u.UnreadableIDs = append(u.UnreadableIDs, id)
+		if t.unreadable[id] {
+			u.UnreadableIDs = append(u.UnreadableIDs, id)
+		} else {
+			u.Members = append(u.Members, t.member(id))
+		}
 	}
 }
 
-// addAllMembers adds all endpoints to an update.
+// addAllMembers adds all endpoints and all drains to an update.
 func (t *keyTable) addAllMembers(u *membership.Update) {
 	ids := idSet{}
 	for id := range t.endpoints {
@@ -171,4 +173,9 @@
 	}
 	maps.Copy(ids, t.unreadable)
 	t.addMembers(ids, u)
+	for _, id := range slices.Sorted(maps.Keys(t.drains)) {
+		if !ids[id] {
+			u.DrainedIDs = append(u.DrainedIDs, id)
+		}
+	}
 }
