Core: test that an outage without a listed endpoint outlasts passivation

TestOutageWithoutEndpointOutlastsPassivation: none of the destination's endpoints is listed when it becomes passive; then a new one is, in the same process, after a restart and after a hand-over.

--- a/internal/core/passivation_test.go
+++ b/internal/core/passivation_test.go
@@ -254,6 +254,50 @@
 	}
 }
 
+// TestOutageWithoutEndpointOutlastsPassivation guards against an outage that is forgotten because none of the
+// destination's endpoints is listed when it becomes passive, also if the relay restarts or hands over then.
+func TestOutageWithoutEndpointOutlastsPassivation(t *testing.T) {
+	now := policy.Time(3600e6)
+	limits := idlestore.Limits{MaxActive: 1, IdleTimeout: 20e6}
+	c := passivatingCore(t, limits)
+	c.Step(now, []Event{listEvent(policy.ListFull, testMember(9, 9, "k"), testMember(1, 1, "k"))}, nil)
+	for i := range 3 {
+		at := now + policy.Time(i)*3e6
+		deliverOne(t, c, at, at+1e6, fmt.Sprint("a", i), 1, &Result{Outcome: policy.ConnectFailed})
+	}
+	c.Step(now+10e6, []Event{listEvent(policy.ListFull, testMember(9, 9, "k"))}, nil)
+	for at := now + 11e6; at < now+60e6; at += 1e6 {
+		c.Step(at, nil, nil)
+		if at == now+30e6 {
+			deliverOne(t, c, at, at+1e6, "c", 9, deliveredResult)
+		}
+	}
+	if !c.isPassive(1) {
+		t.Fatal("isPassive(1) = false, want true")
+	}
+	now += 60e6
+	restarted, successor := passivatingCore(t, limits), passivatingCore(t, limits)
+	snapshot, handedOver := &StateSnapshot{}, &HandoverState{}
+	roundTrip(t, c.SnapshotState(now), snapshot)
+	restarted.Observe(now, []Event{listEvent(policy.ListFull, testMember(9, 9, "k"))}, nil)
+	restarted.RestoreState(now, snapshot, 0, nil)
+	roundTrip(t, c.ExportHandover(now), handedOver)
+	successor.RecoverMessages(now, nil, handedOver, 0, nil)
+	for name, core := range map[string]*Core{"same process": c, "restart": restarted, "hand-over": successor} {
+		core.Step(now, []Event{listEvent(policy.ListDelta, testMember(2, 1, "k"))}, nil)
+		core.activate(1)
+		core.runPolicy()
+		for _, endpoint := range core.endpoints.all {
+			if endpoint.dest == 1 && endpoint.listed && !core.policy.Avoids(endpoint.number, now) {
+				t.Errorf("%s: Avoids(new endpoint of destination 1) = false, want true", name)
+			}
+		}
+		if !slices.ContainsFunc(core.endpoints.all, func(e *endpointState) bool { return e.dest == 1 && e.listed }) {
+			t.Errorf("%s: destination 1 has no endpoint, want one", name)
+		}
+	}
+}
+
 // TestPendingDestinationsStayActive guards against passivation of destinations that are still needed:
 // a recovered message must activate its destination, and a Retry-After that only the core knows, not
 // the policy, must keep its destination active until it ends.
--- a/internal/membership/drainedonly_test.go
+++ b/internal/membership/drainedonly_test.go
@@ -48,13 +48,14 @@
 	if phase := v.publishedPhase("later"); phase != Draining {
 		t.Errorf("an endpoint that is listed after its drain is %q, want %q", phase, Draining)
 	}
+	listed := append(upMembers(4), upMember("later", 9))
 	for _, c := range []struct {
 		name   string
 		update *Update
 		want   string
 	}{
 		{"a change of another endpoint", changeUpdate(etcdSource, 102, upMember("other", 8)), Draining},
-		{"the registry's list again", completeUpdate(registrySource, 7, append(upMembers(4), upMember("later", 9))...), Draining},
+		{"the registry's list again", completeUpdate(registrySource, 7, listed...), Draining},
 		{"etcd publishes it as draining", changeUpdate(etcdSource, 103, drainingMember("e00001", 1)), Draining},
 		{"etcd publishes it as up", changeUpdate(etcdSource, 104, upMember("e00001", 1)), Up},
 		{"a drain again", drainOnly(105, "e00001"), Draining},
