Rehearsal: the crash of a relay is reported with the first line and place of its panic

A relay that panicked was reported as "ended by itself ... exit status 2"; its log had to be kept and searched. Now the report adds the last panic or fatal error that this process wrote to its log, and the first frame of its stack outside the runtime. TestUnexpectedEndIsACrash wants it too; it failed without ("signal: killed" alone).

--- a/internal/rehearsal/runner/relay.go
+++ b/internal/rehearsal/runner/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -129,6 +130,10 @@
 		return nil, err
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
+	logged, err := log.Seek(0, io.SeekEnd)
+	if err != nil {
+		return nil, err
+	}
 	consoleAddr, err := r.reserveAddress()
 	if err != nil {
 		return nil, err
@@ -145,7 +150,7 @@
 		return nil, fmt.Errorf("relay %d: %w", r.index+1, err)
 	}
 	process.expectedUp.Store(true)
-	go process.watch(func(err error) { r.onCrash(r.index, err) })
+	go process.watch(func(err error) { r.onCrash(r.index, withPanic(err, readFrom(r.logPath(), logged))) })
 	return process, nil
 }
 
--- a/internal/rehearsal/runner/runner_test.go
+++ b/internal/rehearsal/runner/runner_test.go
@@ -377,17 +377,29 @@
 	}
 }
 
-// A relay process that exits although nobody stopped it is reported as a failure of the relay.
+// A relay process that exits although nobody stopped it is reported as a failure of the relay, with the panic
+// in its log.
 func TestUnexpectedEndIsACrash(t *testing.T) {
 	t.Parallel()
 	p := loadPlan(t, 2, 10, "")
 	opt := ownRelayOptions(t)
 	opt.OnReady = func(r *Rehearsal) error { // stands for a crash by a bug of the relay
+		log, err := os.OpenFile(r.relays[0].logPath(), os.O_APPEND|os.O_WRONLY, 0)
+		if err != nil {
+			return err
+		}
+		if _, err := log.WriteString("panic: index out of range\n"); err != nil {
+			return err
+		}
+		if err := log.Close(); err != nil {
+			return err
+		}
 		return r.relays[0].current.cmd.Process.Signal(syscall.SIGKILL)
 	}
 	o := play(t, p, opt)
-	if len(o.RelayFailures) != 1 || !strings.Contains(o.RelayFailures[0], "relay 1 ended by itself") {
-		t.Errorf("RelayFailures = %q, want one that says \"relay 1 ended by itself\"", o.RelayFailures)
+	if len(o.RelayFailures) != 1 || !strings.Contains(o.RelayFailures[0], "relay 1 ended by itself") ||
+		!strings.HasSuffix(o.RelayFailures[0], "signal: killed: panic: index out of range") {
+		t.Errorf("RelayFailures = %q, want one that says \"relay 1 ended by itself\" with its panic", o.RelayFailures)
 	}
 }
 
