--- a/internal/departures/departures.go
+++ b/internal/departures/departures.go
@@ -49,27 +49,27 @@
 	return s
 }
 
-// Mask returns a list that a process starts with, in which the endpoints that have departed since
-// are draining. Records that are older than the list are not applied, because the list is newer.
+// Mask returns a list in which the endpoints that have departed since are draining. Records that are
+// older than the list are not applied, because the list is newer.
 func (s *Set) Mask(list *core.EndpointList) *core.EndpointList {
-	displaced := s.displacedIn(list, true)
+	newest := s.newestByAddress(list, true)
 	masked := *list
 	masked.Members = slices.Clone(list.Members)
 	for i := range masked.Members {
 		member := &masked.Members[i]
 		record := s.changed[member.ID]
-		if _, ok := displaced[member.ID]; ok {
+		endpoint := s.stated(member, true)
+		if winner := newest[member.HostPort]; member.Phase == core.Up && winner.displaces(&endpoint) {
 			member.Phase = core.Draining
 		}
 		if record != nil && record.Revision >= list.Revision && record.Address != member.HostPort {
 			member.Phase = core.Draining
 		}
 	}
-	s.Track(&masked)
 	return &masked
 }
 
-// Track makes the endpoints known that are up in a list with which the process starts.
+// Track makes the endpoints known that are up in a list with which the process starts, after Mask.
 func (s *Set) Track(list *core.EndpointList) {
 	for i := range list.Members {
 		if member := &list.Members[i]; member.Check() == nil && member.Phase == core.Up {
--- a/internal/departures/departures_test.go
+++ b/internal/departures/departures_test.go
@@ -62,7 +62,7 @@
 			if rng.IntN(8) == 0 { // a restart with an earlier list
 				start := earlier[rng.IntN(len(earlier))]
 				set = New(replay(records))
-				set.Mask(start)
+				set.Track(set.Mask(start))
 				records = append(records, set.Observe(&core.EndpointList{
 					Revision: revision, Members: slices.Collect(maps.Values(current)),
 				}, false)...)
--- a/internal/relay/firstlist.go
+++ b/internal/relay/firstlist.go
@@ -43,12 +43,19 @@
 // have departed since are draining in it.
 func (r *Relay) configuredList() (lists []core.EndpointListUpdated) {
 	if r.cfg.KnownList != nil {
-		known := r.departures.Mask(r.cfg.KnownList)
+		known := r.startWith(r.cfg.KnownList)
 		lists = append(lists, core.EndpointListUpdated{List: known, Kind: policy.ListCached})
 	}
 	return lists
 }
 
+// startWith returns a list with which this process starts, without the endpoints that have departed since.
+func (r *Relay) startWith(list *core.EndpointList) *core.EndpointList {
+	masked := r.departures.Mask(list)
+	r.departures.Track(masked)
+	return masked
+}
+
 // newerConfiguredList returns the endpoint list in the configuration if it is newer than the one that
 // the predecessor used. This process watches for changes after the configured list, so it would never
 // hear of those that lie between the two. Revisions of different discovery addresses can't be compared.
--- a/internal/relay/startup.go
+++ b/internal/relay/startup.go
@@ -349,7 +349,7 @@
 		if saved.Partial {
 			kind = policy.ListDelta
 		}
-		s.observe([]core.EndpointListUpdated{{List: s.departures.Mask(saved.EndpointList()), Kind: kind}})
+		s.observe([]core.EndpointListUpdated{{List: s.startWith(saved.EndpointList()), Kind: kind}})
 	}
 	if s.firstListsRead || s.cfg.KnownList == nil && saved == nil {
 		s.observe(s.firstLists())
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -201,6 +201,13 @@
 	}
 }
 
+// runDue calls the functions that are due, including those that they add.
+func runDue(s *schedule[func()], now Time) {
+	for call, ok := s.popDue(now); ok; call, ok = s.popDue(now) {
+		call()
+	}
+}
+
 // TestFleetStaysNearLimit checks that relays without shared state, each of which sees little of the traffic, together
 // send about as many calls as the limit allows, although rejected calls use up the limit too. This must hold for few
 // and for many relays, and hardly any relay may starve.
--- a/policy/schedule.go
+++ b/policy/schedule.go
@@ -80,10 +80,3 @@
 	}
 	return s.items[0].at
 }
-
-// runDue calls the functions that are due, including those that they add.
-func runDue(s *schedule[func()], now Time) {
-	for call, ok := s.popDue(now); ok; call, ok = s.popDue(now) {
-		call()
-	}
-}
