--- a/internal/departures/displaced_test.go
+++ b/internal/departures/displaced_test.go
@@ -111,18 +111,18 @@
 // Guards against memory that grows with each endpoint that is displaced.
 func TestDisplacedAreBounded(t *testing.T) {
 	set := New(nil)
+	old, added := &core.EndpointList{Revision: 1}, &core.EndpointList{Revision: 2}
 	for id := range maxTracked + 100 {
-		old, added := up(member(id, core.Up, 1).ID, 1, int64(2*id+1)), up("new", 2, int64(2*id+2))
-		for _, m := range []core.Member{old, added} {
-			set.Observe(set.Resolve(&core.EndpointList{Revision: int64(id), Members: []core.Member{m}}, false), false)
-		}
+		gone, newer := member(id, core.Up, id+1), member(id+2*maxTracked, core.Up, id+1)
+		newer.Dest, newer.StartedAt = 2, 9
+		old.Members, added.Members = append(old.Members, gone), append(added.Members, newer)
+	}
+	for range 3 {
+		set.Observe(set.Resolve(old, false), false)
+		set.Observe(set.Resolve(added, false), false)
 	}
-	if len(set.displaced) > maxTracked || len(set.endpoints) > maxTracked {
-		t.Errorf(
-			"%d displaced, %d tracked endpoints, want at most %d each",
-			len(set.displaced),
-			len(set.endpoints),
-			maxTracked,
-		)
+	if len(set.displaced) != maxTracked || len(set.endpoints) > maxTracked {
+		t.Errorf("%d displaced, %d tracked endpoints, want %d and at most as many", len(set.displaced),
+			len(set.endpoints), maxTracked)
 	}
 }
