--- a/cmd/troutusher-kit/kit_test.go
+++ b/cmd/troutusher-kit/kit_test.go
@@ -118,6 +118,10 @@
 						Destination: 4,
 						Endpoints:   []policy.EndpointSnapshot{{ID: 3, Unhealthy: true, FirstFailureAt: 7e6}},
 					},
+					{ // its endpoints have left the list
+						Destination: 5,
+						Endpoints:   []policy.EndpointSnapshot{{Unhealthy: true, FirstFailureAt: 4e6}},
+					},
 				},
 			},
 		}}); err != nil {
@@ -130,6 +134,7 @@
 	}{
 		{[]string{"learned", "inspect", stateDir}, 0, "relay n7, written 2026-05-01T18:00:00Z while it ran"},
 		{[]string{"learned", "inspect", filepath.Join(stateDir, "learned")}, 0, "1 of 1  s-1 out for 2.0 s"},
+		{[]string{"learned", "inspect", stateDir}, 0, "(not listed) out for 5.0 s"},
 		{[]string{"learned", "inspect", filepath.Join(stateDir, "none")}, 1, "no such file"},
 		{
 			[]string{"learned", "inspect", invalidScenario},
