Departures: a process that serves several destinations displaces none of its endpoints

Found in reading once more. Cause: only one endpoint stood for the process at an address. Where two with the same start served two destinations, the order of a map decided which, and an older endpoint of one of these destinations was removed or not. And a change without a start, as a saved list of two sources gives, set an endpoint back to "long ago", so that its sibling at the address displaced it. Change: the listener at an address is its latest start with all destinations of it, and a change never sets a start back.

--- a/internal/departures/departures.go
+++ b/internal/departures/departures.go
@@ -52,14 +52,14 @@
 // Mask returns a list in which the endpoints that have departed since are draining. Records that are
 // older than the list are not applied, because the list is newer.
 func (s *Set) Mask(list *core.EndpointList) *core.EndpointList {
-	newest := s.newestByAddress(list, true)
+	listeners := s.listeners(list, true)
 	masked := *list
 	masked.Members = slices.Clone(list.Members)
 	for i := range masked.Members {
 		member := &masked.Members[i]
 		record := s.changed[member.ID]
 		endpoint := s.stated(member, true)
-		if winner := newest[member.HostPort]; member.Phase == core.Up && winner.displaces(&endpoint) {
+		if member.Phase == core.Up && listeners[member.HostPort].displaces(&endpoint) {
 			member.Phase = core.Draining
 		}
 		if record != nil && record.Revision >= list.Revision && record.Address != member.HostPort {
--- a/internal/departures/displaced.go
+++ b/internal/departures/displaced.go
@@ -17,11 +17,29 @@
 	unstated bool
 }
 
-// displaces reports whether e shows that another endpoint at its address is gone: a process listens there that
-// has started later and serves another destination.
-func (e *trackedEndpoint) displaces(other *trackedEndpoint) bool {
-	startKnown := !e.unstated || !other.unstated
-	return e.dest != other.dest && e.startedAt > other.startedAt && startKnown
+// listener is the process that listens at an address: the one that started last of those that a list names.
+type listener struct {
+	startedAt int64
+	dests     []int // the destinations that it serves
+	unstated  bool  // the start of none of its endpoints is stated; see trackedEndpoint
+}
+
+// add updates the listener with an endpoint at its address.
+func (l *listener) add(endpoint *trackedEndpoint) {
+	switch {
+	case len(l.dests) == 0 || endpoint.startedAt > l.startedAt:
+		*l = listener{endpoint.startedAt, []int{endpoint.dest}, endpoint.unstated}
+	case endpoint.startedAt == l.startedAt:
+		l.dests = append(l.dests, endpoint.dest)
+		l.unstated = l.unstated && endpoint.unstated
+	}
+}
+
+// displaces reports whether an endpoint at the address is gone: the listener has started later, and does not serve
+// the endpoint's destination.
+func (l *listener) displaces(endpoint *trackedEndpoint) bool {
+	startKnown := !l.unstated || !endpoint.unstated
+	return l.startedAt > endpoint.startedAt && startKnown && !slices.Contains(l.dests, endpoint.dest)
 }
 
 // displacement says that an endpoint has lost its address to a process that has started since.
@@ -64,7 +82,7 @@
 // displacedIn returns the endpoints of a list that have lost their address to another process, and for a change
 // also those that are up without being named. It remembers them until a list says otherwise.
 func (s *Set) displacedIn(list *core.EndpointList, complete bool) map[string]trackedEndpoint {
-	newest := s.newestByAddress(list, complete)
+	listeners := s.listeners(list, complete)
 	displaced := map[string]trackedEndpoint{}
 	named := make(map[string]bool, len(list.Members))
 	for i := range list.Members {
@@ -73,7 +91,7 @@
 		endpoint := s.stated(member, complete)
 		if member.Phase != core.Up {
 			delete(s.displaced, member.ID)
-		} else if s.isDisplaced(member, &endpoint, newest) {
+		} else if s.isDisplaced(member, &endpoint, listeners[endpoint.address]) {
 			displaced[member.ID] = endpoint
 		}
 	}
@@ -82,9 +100,9 @@
 		return displaced
 	}
 	for id, endpoint := range s.endpoints {
-		winner, contested := newest[endpoint.address]
-		if contested && !named[id] && winner.displaces(&endpoint) {
-			s.displace(id, endpoint.address, winner.startedAt)
+		current := listeners[endpoint.address]
+		if current != nil && !named[id] && current.displaces(&endpoint) {
+			s.displace(id, endpoint.address, current.startedAt)
 			displaced[id] = endpoint
 		}
 	}
@@ -92,9 +110,9 @@
 }
 
 // isDisplaced reports whether an endpoint that a list has as up is displaced, now or by an earlier list.
-func (s *Set) isDisplaced(member *core.Member, endpoint *trackedEndpoint, newest map[string]trackedEndpoint) bool {
-	if winner := newest[endpoint.address]; winner.displaces(endpoint) {
-		s.displace(member.ID, endpoint.address, winner.startedAt)
+func (s *Set) isDisplaced(member *core.Member, endpoint *trackedEndpoint, current *listener) bool {
+	if current.displaces(endpoint) {
+		s.displace(member.ID, endpoint.address, current.startedAt)
 		return true
 	}
 	earlier, ok := s.displaced[member.ID]
@@ -112,10 +130,10 @@
 	}
 }
 
-// newestByAddress returns, for each address at which an endpoint of the list is up, the endpoint there whose
-// process started last. For a change, endpoints that it does not name count too.
-func (s *Set) newestByAddress(list *core.EndpointList, complete bool) map[string]trackedEndpoint {
-	newest := map[string]trackedEndpoint{}
+// listeners returns the process that listens at each address at which the list has an endpoint up. For a change,
+// endpoints that it does not name count too.
+func (s *Set) listeners(list *core.EndpointList, complete bool) map[string]*listener {
+	listeners := map[string]*listener{}
 	named := map[string]bool{}
 	for i := range list.Members {
 		member := &list.Members[i]
@@ -123,25 +141,30 @@
 		if member.Phase != core.Up {
 			continue
 		}
-		endpoint := s.stated(member, complete)
-		if other, ok := newest[endpoint.address]; !ok || endpoint.startedAt > other.startedAt {
-			newest[endpoint.address] = endpoint
+		if listeners[member.HostPort] == nil {
+			listeners[member.HostPort] = &listener{}
 		}
+		endpoint := s.stated(member, complete)
+		listeners[member.HostPort].add(&endpoint)
 	}
 	if complete {
-		return newest
+		return listeners
 	}
-	for id, endpoint := range s.endpoints {
-		if other, ok := newest[endpoint.address]; ok && !named[id] && endpoint.startedAt > other.startedAt {
-			newest[endpoint.address] = endpoint
+	for id, endpoint := range s.endpoints { // in any order: add does not depend on it
+		if current := listeners[endpoint.address]; current != nil && !named[id] {
+			current.add(&endpoint)
 		}
 	}
-	return newest
+	return listeners
 }
 
-// stated returns what a registry's list says of a member. Only a complete list is known to state each start.
+// stated returns what a registry's list says of a member. Only a complete list is known to state each start: a
+// change may come from the saved list of another source, which has none, and a process does not start earlier.
 func (s *Set) stated(member *core.Member, complete bool) trackedEndpoint {
-	earlier := s.endpoints[member.ID]
-	unstated := !complete && earlier.unstated && earlier.address == member.HostPort
-	return trackedEndpoint{member.HostPort, member.Dest, member.StartedAt, unstated}
+	stated := trackedEndpoint{address: member.HostPort, dest: member.Dest, startedAt: member.StartedAt}
+	if earlier := s.endpoints[member.ID]; !complete && earlier.address == member.HostPort {
+		stated.startedAt = max(stated.startedAt, earlier.startedAt)
+		stated.unstated = earlier.unstated
+	}
+	return stated
 }
--- a/internal/departures/displaced_test.go
+++ b/internal/departures/displaced_test.go
@@ -50,6 +50,17 @@
 		"started long ago":        {lists{{up("old", 1, 0)}, {up("new", 2, 9)}}, []int{0}, []string{"new"}},
 		"one process serves both": {lists{{up("old", 1, 5)}, {up("new", 2, 5)}}, []int{0}, []string{"new", "old"}},
 		"starts are not stated":   {lists{{up("old", 1, 0)}, {up("new", 2, 0)}}, []int{0}, []string{"new", "old"}},
+		"one process serves three": {
+			lists{
+				{up("a", 1, 9), up("b", 2, 9), up("c", 3, 9)},
+				{up("old", 1, 5)},
+			},
+			[]int{0},
+			[]string{"a", "b", "c", "old"},
+		},
+		"a start is not repeated": {
+			lists{{up("a", 1, 9), up("b", 2, 9)}, {up("a", 1, 0)}}, []int{0}, []string{"a", "b"},
+		},
 		"same destination":        {lists{{up("old", 1, 5)}, {up("new", 1, 9)}}, []int{0}, []string{"new", "old"}},
 		"both in a complete list": {lists{{up("old", 1, 5), up("new", 2, 9)}}, []int{0}, []string{"new"}},
 		"in the other order":      {lists{{up("new", 2, 9), up("old", 1, 5)}}, []int{0}, []string{"new"}},
--- a/policy/outage_test.go
+++ b/policy/outage_test.go
@@ -66,6 +66,13 @@
 	return worst
 }
 
+// replaceAfter runs the fleet from a time to outageListLag, both after outageEnd, and then passes the list of the new
+// machines to it.
+func (f *fleet) replaceAfter(from Time, kind ListUpdateKind) {
+	f.runTo(from, outageListLag)
+	f.changeList(outageEnd+outageListLag, kind, 11, 12)
+}
+
 // runTo runs the fleet with messages until a time after outageEnd.
 func (f *fleet) runTo(from, to Time) { f.run(outageEnd+from, to-from, 0.8*f.rate) }
 
@@ -109,12 +116,10 @@
 		"replaced on the ramp": unchanged,
 		"added on the ramp":    unchanged,
 		"replaced by changes": func(_ *testing.T, f *fleet) {
-			f.runTo(-6*second, lag)
-			f.changeList(outageEnd+lag, ListDelta, 11, 12)
+			f.replaceAfter(-6*second, ListDelta)
 		},
 		"replaced by a whole list": func(_ *testing.T, f *fleet) {
-			f.runTo(-6*second, lag)
-			f.changeList(outageEnd+lag, ListFull, 11, 12)
+			f.replaceAfter(-6*second, ListFull)
 		},
 		"same endpoints leave and return": func(_ *testing.T, f *fleet) {
 			f.removed = nil
@@ -126,20 +131,17 @@
 		"none listed for 0.5 s": func(_ *testing.T, f *fleet) {
 			f.runTo(-6*second, lag-second/2)
 			f.changeList(outageEnd+lag-second/2, ListFull)
-			f.runTo(lag-second/2, lag)
-			f.changeList(outageEnd+lag, ListFull, 11, 12)
+			f.replaceAfter(lag-second/2, ListFull)
 		},
 		"none listed for 6 s": func(_ *testing.T, f *fleet) {
 			f.changeList(outageEnd-6*second, ListDelta)
-			f.runTo(-6*second, lag)
-			f.changeList(outageEnd+lag, ListDelta, 11, 12)
+			f.replaceAfter(-6*second, ListDelta)
 		},
 		"replaced twice": func(_ *testing.T, f *fleet) {
 			f.removed[13], f.removed[14] = true, true
 			f.runTo(-6*second, -2*second)
 			f.changeList(outageEnd-2*second, ListDelta, 13, 14)
-			f.runTo(-2*second, lag)
-			f.changeList(outageEnd+lag, ListDelta, 11, 12)
+			f.replaceAfter(-2*second, ListDelta)
 		},
 		"replaced twice at once": func(_ *testing.T, f *fleet) {
 			f.runTo(-6*second, lag)
@@ -149,8 +151,7 @@
 		"restarted, then replaced": func(t *testing.T, f *fleet) {
 			f.runTo(-6*second, -second)
 			f.restartAll(t, outageEnd-second)
-			f.runTo(-second, lag)
-			f.changeList(outageEnd+lag, ListDelta, 11, 12)
+			f.replaceAfter(-second, ListDelta)
 		},
 		"replaced during the restart": func(t *testing.T, f *fleet) {
 			f.runTo(-6*second, lag)
@@ -168,8 +169,7 @@
 		"upgraded, then replaced": func(t *testing.T, f *fleet) {
 			f.runTo(-6*second, -second)
 			f.handOverAll(t, outageEnd-second)
-			f.runTo(-second, lag)
-			f.changeList(outageEnd+lag, ListDelta, 11, 12)
+			f.replaceAfter(-second, ListDelta)
 		},
 		"upgraded while none is listed": func(t *testing.T, f *fleet) {
 			f.runTo(-6*second, -second)
