--- a/policy/outage_test.go
+++ b/policy/outage_test.go
@@ -185,7 +185,6 @@
 	for name, change := range changes {
 		for _, n := range []int{3, 12, 80} {
 			t.Run(fmt.Sprintf("%s, %d relays", name, n), func(t *testing.T) {
-				t.Parallel()
 				worst, accepted := 0.0, 0
 				for seed := range uint64(4) {
 					load, served := replacedInOutage(t, n, seed, func(f *fleet) { change(t, f) }, onRamp[name])
